--- /dev/null
+++ b/binaries/burdock-controld/main.go
@@ -0,0 +1,4 @@
+// Command burdock-controld is not complete yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/binaries/burdock-entryd/main.go
@@ -0,0 +1,4 @@
+// Command burdock-entryd is not complete yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/binaries/burdockctl/main.go
@@ -0,0 +1,4 @@
+// Command burdockctl is not complete yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/observe/log.go
@@ -0,0 +1,27 @@
+// Package observe sets up logs, metrics and traces in the same way for every
+// program.
+package observe
+
+import (
+	"io"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// NewLogger returns a logger that writes one line of key=value pairs for each
+// event. The level is "debug", "info", "warn" or "error".
+func NewLogger(output io.Writer, level, program string) (*zap.Logger, error) {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	config.TimeKey = "time"
+	config.MessageKey = "event"
+	config.EncodeDuration = zapcore.StringDurationEncoder
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(config), zapcore.Lock(zapcore.AddSync(output)), parsed)
+	return zap.New(core).With(zap.String("program", program)), nil
+}
--- /dev/null
+++ b/internal/resultcode/resultcode.go
@@ -0,0 +1,172 @@
+// Package resultcode numbers every outcome that burdockrelay reports. The table
+// in docs/result-codes.md lists them; a test keeps both equal.
+package resultcode
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Code is a numbered result.
+type Code uint32
+
+// OK is the code of success.
+const OK Code = 0
+
+// Packet decoding and service match: 1000-1099.
+const (
+	PacketTruncated       Code = 1000
+	PacketMalformed       Code = 1001
+	PacketFragmented      Code = 1002
+	PacketMisaddressed    Code = 1003
+	PacketUnsupported     Code = 1004
+	PacketNoService       Code = 1010
+	PacketForwarded       Code = 1020
+	PacketRelayed         Code = 1021
+	PacketSendFailed      Code = 1022
+	PacketForeignEndpoint Code = 1023
+)
+
+// Routing, ownership and fencing: 1100-1199.
+const (
+	RouteFenced         Code = 1100
+	RouteNoOwner        Code = 1101
+	RouteHopLimit       Code = 1102
+	RouteUnknownFlow    Code = 1103
+	RouteEndpointGone   Code = 1104
+	SnapshotOldRelease  Code = 1110
+	SnapshotOldSequence Code = 1111
+	SnapshotInvalid     Code = 1112
+	LeaseOldIncarnation Code = 1120
+	ReplicationStale    Code = 1130
+)
+
+// Admission and refusal: 1200-1299.
+const (
+	RefusedTableFull     Code = 1200
+	RefusedNoEndpoint    Code = 1201
+	RefusedEndpointLimit Code = 1202
+	RefusedRateLimit     Code = 1203
+	DroppedFirstData     Code = 1210
+	DroppedNoTables      Code = 1211
+)
+
+// Configuration decoding: 2000-2099.
+const (
+	ConfigSyntax       Code = 2000
+	ConfigUnknownField Code = 2001
+	ConfigUnknownKind  Code = 2002
+	ConfigWrongType    Code = 2003
+	ConfigWrongUnit    Code = 2004
+	ConfigBadAddress   Code = 2005
+	ConfigMissingField Code = 2006
+	ConfigOutOfRange   Code = 2007
+	ConfigBadName      Code = 2008
+)
+
+// Configuration checks: 2100-2199.
+const (
+	CheckDuplicateName      Code = 2100
+	CheckUnknownName        Code = 2101
+	CheckOverlap            Code = 2102
+	CheckCycle              Code = 2103
+	CheckLimit              Code = 2104
+	CheckUnused             Code = 2105
+	CheckUDPNotIdempotent   Code = 2106
+	CheckAddressQuarantined Code = 2107
+	CheckEmpty              Code = 2108
+)
+
+// Publication: 2200-2299.
+const (
+	PublishConflict     Code = 2200
+	PublishRefused      Code = 2201
+	PublishTimeout      Code = 2202
+	PublishUnconfirmed  Code = 2203
+	PublishTooLarge     Code = 2204
+	PublishUnchanged    Code = 2205
+	ReleaseHashMismatch Code = 2210
+	ReleaseNotFound     Code = 2211
+)
+
+// Settings: 3000-3099.
+const (
+	SettingsSyntax       Code = 3000
+	SettingsUnknownField Code = 3001
+	SettingsWrongType    Code = 3002
+	SettingsWrongUnit    Code = 3003
+	SettingsBadAddress   Code = 3004
+	SettingsMissingField Code = 3005
+	SettingsOutOfRange   Code = 3006
+	SettingsInsecure     Code = 3007
+	SettingsUnreadable   Code = 3008
+)
+
+// Platform: 4000-4099.
+const (
+	PlatformUnreachable Code = 4000
+	PlatformConflict    Code = 4001
+	PlatformNotFound    Code = 4002
+	PlatformExists      Code = 4003
+	PlatformBadAnswer   Code = 4004
+	PlatformBudget      Code = 4005
+	PlatformUncertain   Code = 4006
+	PlatformExpired     Code = 4007
+)
+
+// Membership and peers: 5000-5099.
+const (
+	PeerUnreachable  Code = 5000
+	PeerBadDatagram  Code = 5001
+	PeerWrongGroup   Code = 5002
+	PeerNoRelease    Code = 5003
+	PeerNameConflict Code = 5004
+)
+
+// Administration API: 6000-6099.
+const (
+	AdminUnauthorized Code = 6000
+	AdminBadRequest   Code = 6001
+	AdminUnavailable  Code = 6002
+	AdminUnknownName  Code = 6003
+)
+
+// Endpoints: 7000-7099.
+const (
+	EndpointUnreachable Code = 7000
+	EndpointBadReport   Code = 7001
+	EndpointUnhealthy   Code = 7002
+)
+
+// Error is an error with a result code.
+type Error struct {
+	Code Code
+	Err  error
+}
+
+// Errorf returns an error with the code and the formatted text.
+func Errorf(code Code, format string, args ...any) error {
+	return &Error{Code: code, Err: fmt.Errorf(format, args...)}
+}
+
+// Error returns the text with the code in front.
+func (e *Error) Error() string {
+	return fmt.Sprintf("code %d: %v", e.Code, e.Err)
+}
+
+// Unwrap returns the wrapped error.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// Of returns the code of an error, OK for nil, and false when it has none.
+func Of(err error) (Code, bool) {
+	if err == nil {
+		return OK, true
+	}
+	var coded *Error
+	if errors.As(err, &coded) {
+		return coded.Code, true
+	}
+	return OK, false
+}
--- /dev/null
+++ b/standins/cmd/standin-caller/main.go
@@ -0,0 +1,4 @@
+// Command standin-caller is not complete yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/standins/cmd/standin-endpoint/main.go
@@ -0,0 +1,4 @@
+// Command standin-endpoint is not complete yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/standins/cmd/standin-fabric/main.go
@@ -0,0 +1,4 @@
+// Command standin-fabric is not complete yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/standins/cmd/standin-platform/main.go
@@ -0,0 +1,4 @@
+// Command standin-platform is not complete yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/standins/doc.go
@@ -0,0 +1,3 @@
+// Package standins holds small test doubles of the outside systems: fabric,
+// platform, backend servers and callers. They serve tests and the demo only.
+package standins
