Add configuration, settings and the administration server

The daemons need the release format, the settings and the Control interface before the operators' tools exist.

--- /dev/null
+++ b/internal/admin/server.go
@@ -0,0 +1,203 @@
+package admin
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/twitchtv/twirp"
+	"go.uber.org/zap"
+
+	"burdockrelay.example/burdockrelay/internal/config"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+	"burdockrelay.example/burdockrelay/proto/adminpb"
+)
+
+const (
+	// DefaultPublishTimeout bounds the wait for acknowledgements when the
+	// request gives none; a change must be in force within 16 s.
+	DefaultPublishTimeout = 20 * time.Second
+	maxPublishTimeout     = 5 * time.Minute
+	defaultHistoryLimit   = 20
+	maxHistoryLimit       = 1_000
+)
+
+// Server implements adminpb.Administration.
+type Server struct {
+	control Control
+	logger  *zap.Logger
+	now     func() time.Time
+}
+
+var _ adminpb.Administration = (*Server)(nil)
+
+// NewServer returns a server of the administration API.
+func NewServer(control Control, logger *zap.Logger) *Server {
+	return &Server{control: control, logger: logger, now: time.Now}
+}
+
+func filesOf(files []*adminpb.File) []config.File {
+	converted := make([]config.File, 0, len(files))
+	for _, file := range files {
+		converted = append(converted, config.File{Name: file.GetName(), Content: file.GetContent()})
+	}
+	return converted
+}
+
+// Check checks a configuration against the release in force.
+func (s *Server) Check(_ context.Context, request *adminpb.CheckRequest) (*adminpb.CheckResponse, error) {
+	configuration, faults := config.Parse(filesOf(request.GetFiles()))
+	if len(faults) > 0 {
+		return &adminpb.CheckResponse{Faults: FaultsToProto(faults)}, nil
+	}
+	if _, faults := s.candidate(configuration, s.control.Accepted()); len(faults) > 0 {
+		return &adminpb.CheckResponse{Faults: FaultsToProto(faults)}, nil
+	}
+	return &adminpb.CheckResponse{Hash: configuration.Hash()}, nil
+}
+
+// candidate builds the release that a publication would make now.
+func (s *Server) candidate(c *config.Configuration, accepted *config.Release) (*config.Release, []config.Fault) {
+	info := config.ReleaseInfo{Author: "check", CreatedAt: s.now()}
+	if control, ok := s.control.(OldestInForce); ok {
+		info.OldestInForce = control.OldestInForce()
+	}
+	release, faults := config.BuildRelease(c, accepted, info)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	if _, _, err := release.Encode(); err != nil {
+		code, _ := resultcode.Of(err)
+		return nil, []config.Fault{{Code: code, Message: err.Error(), Advice: "remove objects that are not needed"}}
+	}
+	return release, nil
+}
+
+// Diff compares a configuration with the release in force.
+func (s *Server) Diff(_ context.Context, request *adminpb.DiffRequest) (*adminpb.DiffResponse, error) {
+	accepted := s.control.Accepted()
+	response := &adminpb.DiffResponse{}
+	if accepted != nil {
+		response.Release = accepted.Number
+	}
+	configuration, faults := config.Parse(filesOf(request.GetFiles()))
+	if len(faults) > 0 {
+		response.Faults = FaultsToProto(faults)
+		return response, nil
+	}
+	release, faults := s.candidate(configuration, accepted)
+	if len(faults) > 0 {
+		response.Faults = FaultsToProto(faults)
+		return response, nil
+	}
+	response.Changes = ChangesToProto(config.Diff(accepted, release))
+	return response, nil
+}
+
+// Publish checks, writes and accepts a configuration.
+func (s *Server) Publish(ctx context.Context, request *adminpb.PublishRequest) (*adminpb.PublishResponse, error) {
+	if request.GetAuthor() == "" {
+		return nil, twirp.RequiredArgumentError("author")
+	}
+	configuration, faults := config.Parse(filesOf(request.GetFiles()))
+	if len(faults) > 0 {
+		return faulty(faults), nil
+	}
+	timeout := time.Duration(request.GetTimeoutMs()) * time.Millisecond
+	if timeout == 0 {
+		timeout = DefaultPublishTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(timeout, maxPublishTimeout))
+	defer cancel()
+	info := config.ReleaseInfo{Author: request.GetAuthor(), Note: request.GetNote(), CreatedAt: s.now()}
+	result, err := s.control.Publish(ctx, configuration, request.GetBaseRelease(), info)
+	if err != nil {
+		s.logger.Warn("publish_failed", zap.String("author", request.GetAuthor()), zap.Error(err))
+		return nil, twirpError(err)
+	}
+	s.logger.Info("publish", zap.String("author", request.GetAuthor()), zap.Uint64("release", result.Release),
+		zap.Uint32("result_code", uint32(result.Code)), zap.String("hash", result.Hash))
+	return publishResponse(&result), nil
+}
+
+func faulty(faults []config.Fault) *adminpb.PublishResponse {
+	return &adminpb.PublishResponse{
+		ResultCode: uint32(faults[0].Code), Message: "the check found faults", Faults: FaultsToProto(faults),
+	}
+}
+
+func publishResponse(result *PublishResult) *adminpb.PublishResponse {
+	response := &adminpb.PublishResponse{
+		ResultCode: uint32(result.Code), Message: result.Message, Faults: FaultsToProto(result.Faults),
+		Release: result.Release, Hash: result.Hash, RefusedBy: result.RefusedBy, Acknowledged: result.Acknowledged,
+	}
+	if result.Conflict != nil {
+		response.ConflictRelease = result.Conflict.Release
+		response.ConflictAuthor = result.Conflict.Author
+		response.ConflictChanges = ChangesToProto(result.Conflict.Changes)
+	}
+	return response
+}
+
+// Status reports the instances, services and endpoints.
+func (s *Server) Status(ctx context.Context, _ *adminpb.StatusRequest) (*adminpb.StatusResponse, error) {
+	response, err := s.control.Status(ctx)
+	if err != nil {
+		return nil, twirpError(err)
+	}
+	return response, nil
+}
+
+// History lists accepted releases, newest first.
+func (s *Server) History(ctx context.Context, request *adminpb.HistoryRequest) (*adminpb.HistoryResponse, error) {
+	limit := int(min(request.GetLimit(), maxHistoryLimit))
+	if limit == 0 {
+		limit = defaultHistoryLimit
+	}
+	releases, err := s.control.History(ctx, limit)
+	if err != nil {
+		return nil, twirpError(err)
+	}
+	return &adminpb.HistoryResponse{Releases: releases}, nil
+}
+
+// Drain starts or ends the drain of one endpoint.
+func (s *Server) Drain(ctx context.Context, request *adminpb.DrainRequest) (*adminpb.DrainResponse, error) {
+	accepted := s.control.Accepted()
+	if accepted == nil {
+		return &adminpb.DrainResponse{
+			ResultCode: uint32(resultcode.AdminUnavailable), Message: "no release is in force",
+		}, nil
+	}
+	if _, ok := accepted.EndpointByName(request.GetEndpoint()); !ok {
+		return &adminpb.DrainResponse{
+			ResultCode: uint32(resultcode.AdminUnknownName),
+			Message:    "unknown endpoint " + request.GetEndpoint() + "; burdockctl status lists the names",
+		}, nil
+	}
+	stored, err := s.control.Drain(ctx, request.GetEndpoint(), request.GetDraining())
+	if err != nil {
+		return nil, twirpError(err)
+	}
+	s.logger.Info("drain", zap.String("endpoint", request.GetEndpoint()),
+		zap.Bool("draining", request.GetDraining()), zap.Bool("stored", stored))
+	return &adminpb.DrainResponse{Stored: stored, Message: drainMessage(stored)}, nil
+}
+
+func drainMessage(stored bool) string {
+	if stored {
+		return "in force and stored"
+	}
+	return "in force; the platform does not hold it yet"
+}
+
+// ResultCodeMeta is the key of the result code in the metadata of an error.
+const ResultCodeMeta = "result_code"
+
+func twirpError(err error) error {
+	code, ok := resultcode.Of(err)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return withCode(twirp.NewError(twirp.DeadlineExceeded, err.Error()), code, ok)
+	}
+	return withCode(twirp.NewError(twirp.Unavailable, err.Error()), code, ok)
+}
--- /dev/null
+++ b/internal/config/check.go
@@ -0,0 +1,339 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+	"burdockrelay.example/burdockrelay/internal/strictyaml"
+)
+
+// Limits of a configuration.
+const (
+	MaxFiles = 1_000
+	// MaxInputBytes bounds the YAML text of all files; 14,000 endpoints and
+	// 1,900 services need about 3 MB.
+	MaxInputBytes = 8 << 20
+	MaxPlaces     = 256
+	MaxPolicies   = 4_000
+	// MaxServices and MaxEndpoints are about twice the target scale.
+	MaxServices  = 4_000
+	MaxEndpoints = 32_000
+	// MaxEndpointsPerService bounds the work to build one default table.
+	MaxEndpointsPerService = 1_000
+	// MaxNameLength is the limit of a DNS label, so that names fit in labels
+	// and object names elsewhere.
+	MaxNameLength = 63
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
+
+// checker holds the indexes that the checks share.
+type checker struct {
+	configuration *Configuration
+	faults        []Fault
+	places        map[string]*Place
+	policies      map[string]*Policy
+	services      map[string]*Service
+	sets          map[string]*BackendSet
+	usedPlaces    map[string]bool
+	usedPolicies  map[string]bool
+	usedServices  map[string]bool
+	usedSets      map[string]bool
+}
+
+// check runs every check that concerns the objects together.
+func check(configuration *Configuration) []Fault {
+	c := &checker{
+		configuration: configuration,
+		places:        map[string]*Place{},
+		policies:      map[string]*Policy{},
+		services:      map[string]*Service{},
+		sets:          map[string]*BackendSet{},
+		usedPlaces:    map[string]bool{},
+		usedPolicies:  map[string]bool{},
+		usedServices:  map[string]bool{},
+		usedSets:      map[string]bool{},
+	}
+	c.counts()
+	c.names()
+	c.placeOverlaps()
+	c.checkPolicies()
+	c.checkServices()
+	c.checkSets()
+	c.checkRules()
+	c.addressOverlaps()
+	c.unused()
+	return c.faults
+}
+
+func (c *checker) add(position strictyaml.Position, field string, code resultcode.Code, advice, format string, args ...any) {
+	c.faults = append(c.faults, Fault{
+		File: position.File, Line: position.LineOf(field), Code: code,
+		Message: fmt.Sprintf(format, args...), Advice: advice,
+	})
+}
+
+func (c *checker) counts() {
+	endpoints := 0
+	for i := range c.configuration.BackendSets {
+		endpoints += len(c.configuration.BackendSets[i].Endpoints)
+	}
+	c.count("places", len(c.configuration.Places), MaxPlaces)
+	c.count("policies", len(c.configuration.Policies), MaxPolicies)
+	c.count("services", len(c.configuration.Services), MaxServices)
+	c.count("endpoints", endpoints, MaxEndpoints)
+	if len(c.configuration.Services) == 0 {
+		c.add(strictyaml.Position{}, "", resultcode.CheckEmpty, "add a document with kind: Service, or check the file names",
+			"the configuration has no service")
+	}
+}
+
+func (c *checker) count(what string, have, limit int) {
+	if have > limit {
+		c.add(strictyaml.Position{}, "", resultcode.CheckLimit, "remove what is not needed",
+			"%d %s are more than %d", have, what, limit)
+	}
+}
+
+// register checks the name of one object and reports duplicates.
+func register[T any](c *checker, kind, name string, position strictyaml.Position, index map[string]*T, object *T) {
+	c.name(kind, name, position)
+	if _, ok := index[name]; ok {
+		c.add(position, "name", resultcode.CheckDuplicateName, "rename or remove one of the two",
+			"%s %s exists twice", kind, name)
+		return
+	}
+	index[name] = object
+}
+
+func (c *checker) name(kind, name string, position strictyaml.Position) {
+	if len(name) > MaxNameLength || !namePattern.MatchString(name) {
+		c.add(position, "name", resultcode.ConfigBadName,
+			fmt.Sprintf("use 1 to %d lower-case letters, digits and inner hyphens", MaxNameLength),
+			"%s name %q is not valid", kind, name)
+	}
+}
+
+func (c *checker) names() {
+	configuration := c.configuration
+	for i := range configuration.Places {
+		place := &configuration.Places[i]
+		register(c, "Place", place.Name, place.Position, c.places, place)
+	}
+	for i := range configuration.Policies {
+		policy := &configuration.Policies[i]
+		register(c, "Policy", policy.Name, policy.Position, c.policies, policy)
+	}
+	for i := range configuration.Services {
+		service := &configuration.Services[i]
+		register(c, "Service", service.Name, service.Position, c.services, service)
+	}
+	for i := range configuration.BackendSets {
+		set := &configuration.BackendSets[i]
+		register(c, "BackendSet", set.Name, set.Position, c.sets, set)
+	}
+	rules := map[string]*Rule{}
+	for i := range configuration.Rules {
+		rule := &configuration.Rules[i]
+		register(c, "Rule", rule.Name, rule.Position, rules, rule)
+	}
+	endpoints := map[string]*Endpoint{}
+	for i := range configuration.BackendSets {
+		for j := range configuration.BackendSets[i].Endpoints {
+			endpoint := &configuration.BackendSets[i].Endpoints[j]
+			register(c, "endpoint", endpoint.Name, endpoint.Position, endpoints, endpoint)
+		}
+	}
+}
+
+// placeOverlaps makes sure that a data centre selects one place, because
+// instances name their places by either.
+func (c *checker) placeOverlaps() {
+	owners := map[string]string{}
+	for i := range c.configuration.Places {
+		place := &c.configuration.Places[i]
+		c.name("data centre", place.DataCentre, place.Position)
+		for _, key := range []string{place.Name, place.DataCentre} {
+			owner, ok := owners[key]
+			if ok && owner != place.Name {
+				c.add(place.Position, "data_centre", resultcode.CheckOverlap, "give each data centre one place",
+					"places %s and %s both stand for %s", owner, place.Name, key)
+				continue
+			}
+			owners[key] = place.Name
+		}
+	}
+}
+
+func (c *checker) checkPolicies() {
+	for i := range c.configuration.Policies {
+		policy := &c.configuration.Policies[i]
+		if policy.Extends == "" {
+			continue
+		}
+		c.usedPolicies[policy.Extends] = true
+		if _, ok := c.policies[policy.Extends]; !ok {
+			c.unknown(policy.Position, "extends", "Policy", policy.Extends, "policy "+policy.Name)
+		}
+	}
+}
+
+func (c *checker) unknown(position strictyaml.Position, field, kind, name, user string) {
+	c.add(position, field, resultcode.CheckUnknownName, fmt.Sprintf("correct the name or add a %s named %s", kind, name),
+		"%s names the unknown %s %q", user, kind, name)
+}
+
+func (c *checker) checkServices() {
+	for i := range c.configuration.Services {
+		service := &c.configuration.Services[i]
+		if service.Protocol == "udp" && !service.Idempotent {
+			c.add(service.Position, "idempotent", resultcode.CheckUDPNotIdempotent,
+				"write idempotent: true if repeated requests do no harm, else use protocol: tcp",
+				"UDP service %s is not idempotent: a first datagram carries data and may arrive twice", service.Name)
+		}
+		if service.Policy == "" {
+			continue
+		}
+		c.usedPolicies[service.Policy] = true
+		if _, ok := c.policies[service.Policy]; !ok {
+			c.unknown(service.Position, "policy", "Policy", service.Policy, "service "+service.Name)
+		}
+	}
+}
+
+func (c *checker) checkSets() {
+	for i := range c.configuration.BackendSets {
+		set := &c.configuration.BackendSets[i]
+		if len(set.Endpoints) == 0 {
+			c.add(set.Position, "endpoints", resultcode.CheckEmpty, "add an endpoint or remove the set",
+				"backend set %s has no endpoints", set.Name)
+		}
+		if len(set.Endpoints) > MaxEndpointsPerService {
+			c.add(set.Position, "endpoints", resultcode.CheckLimit, "split the service",
+				"backend set %s has %d endpoints, more than %d", set.Name, len(set.Endpoints), MaxEndpointsPerService)
+		}
+		for j := range set.Endpoints {
+			c.endpointPlace(&set.Endpoints[j])
+		}
+	}
+}
+
+func (c *checker) endpointPlace(endpoint *Endpoint) {
+	c.usedPlaces[endpoint.Place] = true
+	if _, ok := c.places[endpoint.Place]; !ok {
+		c.unknown(endpoint.Position, "place", "Place", endpoint.Place, "endpoint "+endpoint.Name)
+	}
+}
+
+func (c *checker) checkRules() {
+	setOwner := map[string]string{}
+	type cover struct{ service, place string }
+	covered := map[cover]string{}
+	everywhere := map[string]string{}
+	somewhere := map[string]string{}
+	for i := range c.configuration.Rules {
+		rule := &c.configuration.Rules[i]
+		c.ruleNames(rule)
+		if owner, ok := setOwner[rule.BackendSet]; ok && owner != rule.Service {
+			c.add(rule.Position, "backend_set", resultcode.CheckOverlap, "give each service its own backend set",
+				"backend set %s serves %s and %s", rule.BackendSet, owner, rule.Service)
+		}
+		setOwner[rule.BackendSet] = rule.Service
+		other, overlaps := everywhere[rule.Service]
+		if len(rule.Places) == 0 {
+			if !overlaps {
+				other, overlaps = somewhere[rule.Service]
+			}
+			everywhere[rule.Service] = rule.Name
+		}
+		for _, place := range rule.Places {
+			if earlier, ok := covered[cover{rule.Service, place}]; ok {
+				other, overlaps = earlier, true
+			}
+			covered[cover{rule.Service, place}] = rule.Name
+		}
+		somewhere[rule.Service] = rule.Name
+		if overlaps {
+			c.add(rule.Position, "places", resultcode.CheckOverlap, "give the rules of a service separate places",
+				"rules %s and %s join service %s at the same place", other, rule.Name, rule.Service)
+		}
+	}
+}
+
+func (c *checker) ruleNames(rule *Rule) {
+	c.usedServices[rule.Service] = true
+	c.usedSets[rule.BackendSet] = true
+	if _, ok := c.services[rule.Service]; !ok {
+		c.unknown(rule.Position, "service", "Service", rule.Service, "rule "+rule.Name)
+	}
+	if _, ok := c.sets[rule.BackendSet]; !ok {
+		c.unknown(rule.Position, "backend_set", "BackendSet", rule.BackendSet, "rule "+rule.Name)
+	}
+	if len(rule.Places) == 0 {
+		for name := range c.places {
+			c.usedPlaces[name] = true
+		}
+	}
+	for _, place := range rule.Places {
+		c.usedPlaces[place] = true
+		if _, ok := c.places[place]; !ok {
+			c.unknown(rule.Position, "places", "Place", place, "rule "+rule.Name)
+		}
+	}
+}
+
+// addressOverlaps makes sure that an address identifies one service or one
+// endpoint, on which promise P2 rests.
+func (c *checker) addressOverlaps() {
+	serviceOwner := map[string]string{}
+	serviceHosts := map[netip.Addr]string{}
+	for i := range c.configuration.Services {
+		service := &c.configuration.Services[i]
+		serviceHosts[service.Address] = service.Name
+		key := serviceKey(service)
+		if owner, ok := serviceOwner[key]; ok {
+			c.add(service.Position, "address", resultcode.CheckOverlap, "change the address, the port or the protocol of one",
+				"services %s and %s share %s", owner, service.Name, key)
+			continue
+		}
+		serviceOwner[key] = service.Name
+	}
+	endpointOwner := map[netip.AddrPort]string{}
+	for i := range c.configuration.BackendSets {
+		for j := range c.configuration.BackendSets[i].Endpoints {
+			endpoint := &c.configuration.BackendSets[i].Endpoints[j]
+			if owner, ok := endpointOwner[endpoint.Address]; ok {
+				c.add(endpoint.Position, "address", resultcode.CheckOverlap, "give each endpoint its own address and port",
+					"endpoints %s and %s share %s", owner, endpoint.Name, endpoint.Address)
+			}
+			endpointOwner[endpoint.Address] = endpoint.Name
+			if service, ok := serviceHosts[endpoint.Address.Addr()]; ok {
+				c.add(endpoint.Position, "address", resultcode.CheckOverlap, "use the backend server's own address",
+					"endpoint %s has the address of service %s, so packets would loop", endpoint.Name, service)
+			}
+		}
+	}
+}
+
+func (c *checker) unused() {
+	for _, place := range c.configuration.Places {
+		c.needUse("place", place.Name, place.Position, c.usedPlaces, "remove it, or name it in an endpoint or a rule")
+	}
+	for _, policy := range c.configuration.Policies {
+		c.needUse("policy", policy.Name, policy.Position, c.usedPolicies, "remove it, or name it in a service or another policy")
+	}
+	for _, service := range c.configuration.Services {
+		c.needUse("service", service.Name, service.Position, c.usedServices, "remove it, or add a Rule that joins it with a backend set")
+	}
+	for _, set := range c.configuration.BackendSets {
+		c.needUse("backend set", set.Name, set.Position, c.usedSets, "remove it, or add a Rule that joins it with a service")
+	}
+}
+
+func (c *checker) needUse(kind, name string, position strictyaml.Position, used map[string]bool, advice string) {
+	if !used[name] {
+		c.add(position, "", resultcode.CheckUnused, advice, "%s %s is not used", kind, name)
+	}
+}
--- /dev/null
+++ b/internal/config/parse.go
@@ -0,0 +1,177 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"gopkg.in/yaml.v3"
+
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+	"burdockrelay.example/burdockrelay/internal/strictyaml"
+)
+
+const defaultWeight = 100
+
+var codes = strictyaml.Codes{
+	Syntax:       resultcode.ConfigSyntax,
+	UnknownField: resultcode.ConfigUnknownField,
+	WrongType:    resultcode.ConfigWrongType,
+	WrongUnit:    resultcode.ConfigWrongUnit,
+	BadAddress:   resultcode.ConfigBadAddress,
+	MissingField: resultcode.ConfigMissingField,
+	OutOfRange:   resultcode.ConfigOutOfRange,
+}
+
+// policyFile is a policy as written: absent fields are inherited.
+type policyFile struct {
+	Name                string              `yaml:"name" required:"true"`
+	Extends             string              `yaml:"extends"`
+	Selection           *string             `yaml:"selection" oneof:"hash bounded two-choices"`
+	Bound               *strictyaml.Percent `yaml:"bound" min:"100%" max:"1000%"`
+	SlowStart           *time.Duration      `yaml:"slow_start" min:"0s" max:"1h"`
+	IdleTimeout         *time.Duration      `yaml:"idle_timeout" min:"1s" max:"24h"`
+	DrainDeadline       *time.Duration      `yaml:"drain_deadline" min:"1s" max:"24h"`
+	MaxFlowsPerEndpoint *uint32             `yaml:"max_flows_per_endpoint" min:"1" max:"1000000"`
+	NewFlowsPerSecond   *uint32             `yaml:"new_flows_per_second" min:"0" max:"10000000"`
+	MaxEjected          *strictyaml.Percent `yaml:"max_ejected" min:"0%" max:"50%"`
+	Position            strictyaml.Position `yaml:"-"`
+}
+
+type parser struct {
+	configuration Configuration
+	policies      []policyFile
+	faults        []Fault
+}
+
+// Parse decodes the files strictly and checks all objects together. The
+// configuration is nil when there are faults.
+func Parse(files []File) (*Configuration, []Fault) {
+	p := &parser{}
+	p.sizes(files)
+	if len(p.faults) > 0 {
+		return nil, p.faults
+	}
+	for _, file := range files {
+		p.file(file)
+	}
+	if len(p.faults) > 0 {
+		return nil, sortFaults(p.faults)
+	}
+	p.configuration.Policies, p.faults = resolvePolicies(p.policies)
+	p.configuration.sort()
+	p.faults = append(p.faults, check(&p.configuration)...)
+	if len(p.faults) > 0 {
+		return nil, sortFaults(p.faults)
+	}
+	return &p.configuration, nil
+}
+
+func sortFaults(faults []Fault) []Fault {
+	slices.SortStableFunc(faults, func(a, b Fault) int {
+		if order := strings.Compare(a.File, b.File); order != 0 {
+			return order
+		}
+		return a.Line - b.Line
+	})
+	return faults
+}
+
+func (p *parser) sizes(files []File) {
+	total := 0
+	for _, file := range files {
+		total += len(file.Content)
+	}
+	if len(files) > MaxFiles {
+		p.faults = append(p.faults, Fault{
+			File: files[MaxFiles].Name, Line: 1, Code: resultcode.CheckLimit,
+			Message: fmt.Sprintf("%d files are more than %d", len(files), MaxFiles),
+			Advice:  "put several documents into one file",
+		})
+	}
+	if total > MaxInputBytes {
+		p.faults = append(p.faults, Fault{
+			File: files[0].Name, Line: 1, Code: resultcode.CheckLimit,
+			Message: fmt.Sprintf("%d bytes of configuration are more than %d", total, MaxInputBytes),
+			Advice:  "remove objects that are not needed",
+		})
+	}
+}
+
+func (p *parser) file(file File) {
+	decoder := &strictyaml.Decoder{File: file.Name, Codes: codes}
+	for _, root := range decoder.Documents(file.Content) {
+		p.document(decoder, root)
+	}
+	p.faults = append(p.faults, decoder.Faults...)
+}
+
+func (p *parser) document(decoder *strictyaml.Decoder, root *yaml.Node) {
+	kind, line := kindOf(root)
+	switch kind {
+	case "Place":
+		var place Place
+		decoder.Struct(root, &place, "kind")
+		if place.DataCentre == "" {
+			place.DataCentre = place.Name
+		}
+		p.configuration.Places = append(p.configuration.Places, place)
+	case "Policy":
+		var policy policyFile
+		decoder.Struct(root, &policy, "kind")
+		p.policies = append(p.policies, policy)
+	case "Service":
+		var service Service
+		decoder.Struct(root, &service, "kind")
+		p.configuration.Services = append(p.configuration.Services, service)
+	case "BackendSet":
+		var set BackendSet
+		decoder.Struct(root, &set, "kind")
+		setWeights(set.Endpoints)
+		p.configuration.BackendSets = append(p.configuration.BackendSets, set)
+	case "Rule":
+		var rule Rule
+		decoder.Struct(root, &rule, "kind")
+		p.configuration.Rules = append(p.configuration.Rules, rule)
+	default:
+		decoder.Add(line, Fault{
+			Code: resultcode.ConfigUnknownKind, Message: fmt.Sprintf("unknown kind %q", kind),
+			Advice: "start the document with kind: Place, Service, BackendSet, Rule or Policy",
+		})
+	}
+}
+
+func setWeights(endpoints []Endpoint) {
+	for i := range endpoints {
+		if !endpoints[i].Position.Has("weight") {
+			endpoints[i].Weight = defaultWeight
+		}
+	}
+}
+
+func kindOf(root *yaml.Node) (kind string, line int) {
+	if root.Kind != yaml.MappingNode {
+		return "", root.Line
+	}
+	for i := 0; i+1 < len(root.Content); i += 2 {
+		if root.Content[i].Value == "kind" {
+			return root.Content[i+1].Value, root.Content[i].Line
+		}
+	}
+	return "", root.Line
+}
+
+func (c *Configuration) sort() {
+	slices.SortFunc(c.Places, func(a, b Place) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.Policies, func(a, b Policy) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.Services, func(a, b Service) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.BackendSets, func(a, b BackendSet) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.Rules, func(a, b Rule) int { return strings.Compare(a.Name, b.Name) })
+	for i := range c.BackendSets {
+		slices.SortFunc(c.BackendSets[i].Endpoints, func(a, b Endpoint) int { return strings.Compare(a.Name, b.Name) })
+	}
+	for i := range c.Rules {
+		slices.Sort(c.Rules[i].Places)
+	}
+}
--- /dev/null
+++ b/internal/config/services.go
@@ -0,0 +1,126 @@
+package config
+
+import (
+	"slices"
+	"strings"
+
+	"burdockrelay.example/burdockrelay/common"
+)
+
+// ServicesFor returns the services of a group that covers the places, each with
+// the endpoints that all instances of the group use: those at the places, or
+// all endpoints of the rule's backend set when none is there. A place is given
+// by its name or its data centre. Endpoint states are left at EndpointUp.
+func (r *Release) ServicesFor(places []string) []common.Service {
+	covered := r.placeNames(places)
+	sets := make(map[string]*BackendSet, len(r.BackendSets))
+	for i := range r.BackendSets {
+		sets[r.BackendSets[i].Name] = &r.BackendSets[i]
+	}
+	endpoints := make(map[string][]common.Endpoint)
+	for i := range r.Rules {
+		rule := &r.Rules[i]
+		if rule.covers(covered) {
+			endpoints[rule.Service] = append(endpoints[rule.Service], endpointsAt(sets[rule.BackendSet], covered)...)
+		}
+	}
+	services := make([]common.Service, 0, len(endpoints))
+	for i := range r.Services {
+		service := &r.Services[i]
+		list, ok := endpoints[service.Name]
+		if !ok {
+			continue
+		}
+		slices.SortFunc(list, func(a, b common.Endpoint) int { return int(int64(a.ID) - int64(b.ID)) })
+		policy := r.PolicyOf(service)
+		services = append(services, common.Service{
+			ID: service.ID, Name: service.Name, Address: service.ServiceAddress(),
+			Idempotent: service.Idempotent, Policy: policy.Common(), Endpoints: list,
+		})
+	}
+	return services
+}
+
+// PolicyOf returns the effective policy of a service.
+func (r *Release) PolicyOf(service *Service) Policy {
+	if policy, ok := r.policy(service.Policy); ok {
+		return *policy
+	}
+	return DefaultPolicy()
+}
+
+func (r *Release) policy(name string) (*Policy, bool) {
+	index, ok := slices.BinarySearchFunc(r.Policies, name, func(policy Policy, name string) int {
+		return strings.Compare(policy.Name, name)
+	})
+	if !ok {
+		return nil, false
+	}
+	return &r.Policies[index], true
+}
+
+// placeNames maps places given by name or data centre to place names.
+func (r *Release) placeNames(places []string) map[string]bool {
+	covered := make(map[string]bool, len(places))
+	for i := range r.Places {
+		place := &r.Places[i]
+		if slices.Contains(places, place.Name) || slices.Contains(places, place.DataCentre) {
+			covered[place.Name] = true
+		}
+	}
+	return covered
+}
+
+func (r *Rule) covers(covered map[string]bool) bool {
+	if len(r.Places) == 0 {
+		return true
+	}
+	for _, place := range r.Places {
+		if covered[place] {
+			return true
+		}
+	}
+	return false
+}
+
+func endpointsAt(set *BackendSet, covered map[string]bool) []common.Endpoint {
+	var local, all []common.Endpoint
+	for i := range set.Endpoints {
+		endpoint := &set.Endpoints[i]
+		converted := common.Endpoint{
+			ID: endpoint.ID, Name: endpoint.Name, Tunnel: endpoint.Address, Weight: endpoint.Weight,
+		}
+		all = append(all, converted)
+		if covered[endpoint.Place] {
+			local = append(local, converted)
+		}
+	}
+	if len(local) > 0 {
+		return local
+	}
+	return all
+}
+
+// EndpointByName finds an endpoint, for drains and health probes.
+func (r *Release) EndpointByName(name string) (*Endpoint, bool) {
+	for i := range r.BackendSets {
+		for j := range r.BackendSets[i].Endpoints {
+			if r.BackendSets[i].Endpoints[j].Name == name {
+				return &r.BackendSets[i].Endpoints[j], true
+			}
+		}
+	}
+	return nil, false
+}
+
+// EndpointsByID returns all endpoints by number.
+func (r *Release) EndpointsByID() map[common.EndpointID]*Endpoint {
+	endpoints := make(map[common.EndpointID]*Endpoint)
+	for i := range r.BackendSets {
+		for j := range r.BackendSets[i].Endpoints {
+			endpoint := &r.BackendSets[i].Endpoints[j]
+			endpoints[endpoint.ID] = endpoint
+		}
+	}
+	return endpoints
+}
--- /dev/null
+++ b/internal/settings/daemons.go
@@ -0,0 +1,186 @@
+package settings
+
+import (
+	"net/netip"
+	"net/url"
+	"regexp"
+
+	"burdockrelay.example/burdockrelay/internal/observe"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+	"burdockrelay.example/burdockrelay/internal/strictyaml"
+)
+
+// Default ports, see docs/design.md section 5.3.
+const (
+	DefaultEntryPort = 6081
+	DefaultPeerPort  = 7946
+)
+
+// defaultMaxFlows is the size of the flow table: today's instances hold
+// hundreds of thousands of flows, at about 64 bytes each.
+const defaultMaxFlows = 500_000
+
+// maxNameLength is the limit of object names in the configuration.
+const maxNameLength = 63
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
+
+// Entry holds the settings of burdock-entryd.
+type Entry struct {
+	Instance   string `yaml:"instance" required:"true"`
+	DataCentre string `yaml:"data_centre" required:"true"`
+	// Group defaults to the data centre.
+	Group     string     `yaml:"group"`
+	Address   netip.Addr `yaml:"address" required:"true"`
+	EntryPort uint16     `yaml:"entry_port" min:"1" max:"65535"`
+	LogLevel  string     `yaml:"log_level" oneof:"debug info warn error"`
+
+	Trace observe.TraceSettings `yaml:"trace"`
+	// MetricsListen is the zero value when metrics are off.
+	MetricsListen netip.AddrPort `yaml:"metrics_listen"`
+	// APIListen is the loopback address of the Entry service.
+	APIListen netip.AddrPort `yaml:"api_listen" required:"true"`
+	// FabricReturn is where resets for refused callers are sent.
+	FabricReturn netip.AddrPort      `yaml:"fabric_return" required:"true"`
+	MaxFlows     uint32              `yaml:"max_flows" min:"1000" max:"10000000"`
+	Position     strictyaml.Position `yaml:"-"`
+}
+
+// Control holds the settings of burdock-controld.
+type Control struct {
+	Instance   string `yaml:"instance" required:"true"`
+	DataCentre string `yaml:"data_centre" required:"true"`
+	// Group defaults to the data centre.
+	Group     string     `yaml:"group"`
+	Address   netip.Addr `yaml:"address" required:"true"`
+	EntryPort uint16     `yaml:"entry_port" min:"1" max:"65535"`
+	LogLevel  string     `yaml:"log_level" oneof:"debug info warn error"`
+
+	Trace observe.TraceSettings `yaml:"trace"`
+	// MetricsListen is the zero value when metrics are off.
+	MetricsListen netip.AddrPort `yaml:"metrics_listen"`
+	// EntryAPI is the loopback address of entryd's Entry service.
+	EntryAPI netip.AddrPort `yaml:"entry_api" required:"true"`
+	// Places that the group covers, by name or data centre; the default is the
+	// data centre.
+	Places   []string `yaml:"places"`
+	PeerPort uint16   `yaml:"peer_port" min:"1" max:"65535"`
+	// Platform is the base URL of the object API.
+	Platform       string              `yaml:"platform" required:"true"`
+	Administration Administration      `yaml:"administration"`
+	Position       strictyaml.Position `yaml:"-"`
+}
+
+// Administration holds the settings of the administration API. TLS and a token
+// are required beyond loopback.
+type Administration struct {
+	// Listen is the zero value when the API is off.
+	Listen         netip.AddrPort      `yaml:"listen"`
+	TLSCertificate string              `yaml:"tls_certificate"`
+	TLSKey         string              `yaml:"tls_key"`
+	TokenFile      string              `yaml:"token_file"`
+	Position       strictyaml.Position `yaml:"-"`
+}
+
+func (e *Entry) setDefaults() {
+	e.EntryPort = DefaultEntryPort
+	e.LogLevel = "info"
+	e.MaxFlows = defaultMaxFlows
+}
+
+func (e *Entry) finish(report reporter) {
+	if e.Group == "" {
+		e.Group = e.DataCentre
+	}
+	checkName(report, e.Position, "instance", e.Instance)
+	checkName(report, e.Position, "data_centre", e.DataCentre)
+	checkName(report, e.Position, "group", e.Group)
+	checkTrace(report, e.Position, e.Trace)
+	if !e.APIListen.Addr().IsLoopback() {
+		report(e.Position, "api_listen", resultcode.SettingsInsecure, "use a loopback address, such as 127.0.0.1:7081",
+			"api_listen: %s is not a loopback address and the Entry service has no authentication", e.APIListen)
+	}
+}
+
+func (c *Control) setDefaults() {
+	c.EntryPort = DefaultEntryPort
+	c.PeerPort = DefaultPeerPort
+	c.LogLevel = "info"
+}
+
+func (c *Control) finish(report reporter) {
+	if c.Group == "" {
+		c.Group = c.DataCentre
+	}
+	if len(c.Places) == 0 {
+		c.Places = []string{c.DataCentre}
+	}
+	checkName(report, c.Position, "instance", c.Instance)
+	checkName(report, c.Position, "data_centre", c.DataCentre)
+	checkName(report, c.Position, "group", c.Group)
+	for _, place := range c.Places {
+		checkName(report, c.Position, "places", place)
+	}
+	checkTrace(report, c.Position, c.Trace)
+	if !c.EntryAPI.Addr().IsLoopback() {
+		report(c.Position, "entry_api", resultcode.SettingsInsecure, "use the loopback address of api_listen in the settings of burdock-entryd",
+			"entry_api: %s is not a loopback address", c.EntryAPI)
+	}
+	checkURL(report, c.Position, "platform", c.Platform)
+	c.Administration.check(report)
+}
+
+func (a *Administration) check(report reporter) {
+	if !a.Listen.IsValid() {
+		return
+	}
+	if (a.TLSCertificate == "") != (a.TLSKey == "") {
+		report(a.Position, "tls_certificate", resultcode.SettingsMissingField, "give both tls_certificate and tls_key",
+			"administration has only one of tls_certificate and tls_key")
+	}
+	if a.Listen.Addr().IsLoopback() {
+		return
+	}
+	if a.TLSCertificate == "" || a.TokenFile == "" {
+		report(a.Position, "listen", resultcode.SettingsInsecure,
+			"give tls_certificate, tls_key and token_file, or listen on 127.0.0.1",
+			"administration.listen: %s is reachable from other hosts without TLS and token", a.Listen)
+	}
+}
+
+func checkName(report reporter, position strictyaml.Position, field, name string) {
+	if len(name) > maxNameLength || !namePattern.MatchString(name) {
+		report(position, field, resultcode.SettingsOutOfRange, "use 1 to 63 lower-case letters, digits and inner hyphens",
+			"%s: %q is not a valid name", field, name)
+	}
+}
+
+func checkURL(report reporter, position strictyaml.Position, field, text string) {
+	parsed, err := url.Parse(text)
+	if err == nil && (parsed.Scheme == "http" || parsed.Scheme == "https") && parsed.User == nil {
+		if _, err := netip.ParseAddr(parsed.Hostname()); err == nil {
+			return
+		}
+	}
+	report(position, field, resultcode.SettingsBadAddress, "write http or https with a numeric address, such as http://192.0.2.5:8080",
+		"%s: %q is not a usable URL", field, text)
+}
+
+func checkTrace(report reporter, position strictyaml.Position, trace observe.TraceSettings) {
+	switch trace.Exporter {
+	case "", "off", "stdout":
+	case "file":
+		if trace.File == "" {
+			report(position, "trace", resultcode.SettingsMissingField, "add trace.file: a path", "trace.file is missing")
+		}
+	case "otlp":
+		checkURL(report, position, "trace", trace.Endpoint)
+	default:
+		report(position, "trace", resultcode.SettingsOutOfRange, "write off, stdout, file or otlp",
+			"trace.exporter: %q is not a known value", trace.Exporter)
+	}
+	if trace.SampleRatio < 0 || trace.SampleRatio > 1 {
+		report(position, "trace", resultcode.SettingsOutOfRange, "write a value from 0 to 1",
+			"trace.sample_ratio: %v is out of range", trace.SampleRatio)
+	}
+}
--- /dev/null
+++ b/internal/strictyaml/decoder.go
@@ -0,0 +1,253 @@
+package strictyaml
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+
+	"gopkg.in/yaml.v3"
+)
+
+// Decoder decodes the documents of one file and collects the faults.
+//
+// Struct fields use these tags: yaml (name), required ("true"), min and max
+// (in the notation of the file), oneof (values separated by spaces).
+type Decoder struct {
+	File   string
+	Codes  Codes
+	Faults []Fault
+}
+
+var (
+	// yamlLine finds the line number in the messages of the YAML library.
+	yamlLine = regexp.MustCompile(`line (\d+): `)
+	// parserError matches errors whose line the library counts from 0; it
+	// counts the lines of all other errors from 1.
+	parserError = regexp.MustCompile(`^did not find expected (key|node content|',' or|'-' indicator|<)`)
+	// unknownAnchor matches the error that the library reports without line.
+	unknownAnchor = regexp.MustCompile(`^unknown anchor '(.*)' referenced`)
+)
+
+// Documents splits the content into the root nodes of its documents. Empty
+// documents are left out. A syntax error ends the file.
+func (d *Decoder) Documents(content []byte) []*yaml.Node {
+	var roots []*yaml.Node
+	decoder := yaml.NewDecoder(bytes.NewReader(content))
+	for {
+		var document yaml.Node
+		err := decoder.Decode(&document)
+		if errors.Is(err, io.EOF) {
+			return roots
+		}
+		if err != nil {
+			d.syntax(err, content)
+			return roots
+		}
+		if root := rootOf(&document); root != nil {
+			roots = append(roots, root)
+		}
+	}
+}
+
+func rootOf(document *yaml.Node) *yaml.Node {
+	if document.Kind != yaml.DocumentNode || len(document.Content) == 0 {
+		return nil
+	}
+	root := document.Content[0]
+	if root.Kind == yaml.ScalarNode && root.Tag == "!!null" {
+		return nil
+	}
+	return root
+}
+
+func (d *Decoder) syntax(err error, content []byte) {
+	text := strings.TrimPrefix(err.Error(), "yaml: ")
+	line := 1
+	if match := yamlLine.FindStringSubmatch(text); match != nil {
+		line, _ = strconv.Atoi(match[1])
+		text = strings.Replace(text, match[0], "", 1)
+		if parserError.MatchString(text) {
+			line++
+		}
+	}
+	if match := unknownAnchor.FindStringSubmatch(text); match != nil {
+		line = lineOf(content, "*"+match[1])
+	}
+	d.Add(line, Fault{
+		Code: d.Codes.Syntax, Message: "not valid YAML: " + text,
+		Advice: "correct the indentation or the quotes near this line",
+	})
+}
+
+// lineOf returns the line of the first occurrence of text, 1 without any.
+func lineOf(content []byte, text string) int {
+	before, _, found := bytes.Cut(content, []byte(text))
+	if !found {
+		return 1
+	}
+	return 1 + bytes.Count(before, []byte("\n"))
+}
+
+// Add records a fault of this file at the line.
+func (d *Decoder) Add(line int, fault Fault) {
+	fault.File = d.File
+	fault.Line = line
+	d.Faults = append(d.Faults, fault)
+}
+
+// Struct decodes a mapping into the struct that into points to. Fields that
+// are absent keep their values. Names in ignored are accepted and not decoded.
+func (d *Decoder) Struct(node *yaml.Node, into any, ignored ...string) {
+	d.structValue(node, reflect.ValueOf(into).Elem(), "", ignored)
+}
+
+type fieldInfo struct {
+	index  int
+	name   string
+	field  reflect.StructField
+	needed bool
+}
+
+func fieldsOf(t reflect.Type) []fieldInfo {
+	var fields []fieldInfo
+	for i := range t.NumField() {
+		field := t.Field(i)
+		name, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+		if name == "" || name == "-" {
+			continue
+		}
+		fields = append(fields, fieldInfo{i, name, field, field.Tag.Get("required") == "true"})
+	}
+	return fields
+}
+
+func (d *Decoder) structValue(node *yaml.Node, value reflect.Value, path string, ignored []string) {
+	if node.Kind != yaml.MappingNode {
+		d.wrongKind(node, path, "a mapping of fields")
+		return
+	}
+	fields := fieldsOf(value.Type())
+	position := Position{File: d.File, Line: node.Line, Fields: make(map[string]int, len(node.Content)/2)}
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		key, item := node.Content[i], node.Content[i+1]
+		if position.Has(key.Value) {
+			d.Add(key.Line, Fault{
+				Code: d.Codes.Syntax, Message: fmt.Sprintf("field %s is given twice", join(path, key.Value)),
+				Advice: "keep one of the two",
+			})
+			continue
+		}
+		position.Fields[key.Value] = key.Line
+		d.field(fields, key, item, value, path, ignored)
+	}
+	for _, field := range fields {
+		if field.needed && !position.Has(field.name) {
+			d.Add(node.Line, Fault{
+				Code: d.Codes.MissingField, Message: fmt.Sprintf("field %s is missing", join(path, field.name)),
+				Advice: fmt.Sprintf("add %s: %s", field.name, example(field.field)),
+			})
+		}
+	}
+	setPosition(value, position)
+}
+
+func setPosition(value reflect.Value, position Position) {
+	for i := range value.NumField() {
+		if value.Type().Field(i).Type == reflect.TypeFor[Position]() {
+			value.Field(i).Set(reflect.ValueOf(position))
+		}
+	}
+}
+
+func (d *Decoder) field(fields []fieldInfo, key, item *yaml.Node, value reflect.Value, path string, ignored []string) {
+	for _, name := range ignored {
+		if key.Value == name {
+			return
+		}
+	}
+	for _, field := range fields {
+		if field.name == key.Value {
+			d.value(item, value.Field(field.index), join(path, field.name), field.field)
+			return
+		}
+	}
+	d.Add(key.Line, Fault{
+		Code: d.Codes.UnknownField, Message: fmt.Sprintf("unknown field %s", join(path, key.Value)),
+		Advice: "use one of " + strings.Join(namesOf(fields, ignored), ", "),
+	})
+}
+
+func namesOf(fields []fieldInfo, ignored []string) []string {
+	names := append([]string{}, ignored...)
+	for _, field := range fields {
+		names = append(names, field.name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func (d *Decoder) wrongKind(node *yaml.Node, path, want string) {
+	d.Add(node.Line, Fault{
+		Code: d.Codes.WrongType, Message: fmt.Sprintf("%s must be %s", named(path), want),
+		Advice: "write " + want,
+	})
+}
+
+func named(path string) string {
+	if path == "" {
+		return "the document"
+	}
+	return path
+}
+
+// value decodes one field. Aliases are refused: they would let a short file
+// expand to an unbounded configuration.
+func (d *Decoder) value(node *yaml.Node, value reflect.Value, path string, field reflect.StructField) {
+	if node.Kind == yaml.AliasNode {
+		d.Add(node.Line, Fault{
+			Code: d.Codes.WrongType, Message: path + " uses a YAML alias", Advice: "write the value in full",
+		})
+		return
+	}
+	if isScalar(value.Type()) {
+		d.scalar(node, value, path, field)
+		return
+	}
+	switch value.Kind() {
+	case reflect.Pointer:
+		target := reflect.New(value.Type().Elem())
+		d.value(node, target.Elem(), path, field)
+		value.Set(target)
+	case reflect.Slice:
+		d.list(node, value, path, field)
+	case reflect.Struct:
+		d.structValue(node, value, path, nil)
+	default:
+		panic("strictyaml: unsupported type " + value.Type().String())
+	}
+}
+
+func (d *Decoder) list(node *yaml.Node, value reflect.Value, path string, field reflect.StructField) {
+	if node.Kind != yaml.SequenceNode {
+		d.wrongKind(node, path, "a list")
+		return
+	}
+	items := reflect.MakeSlice(value.Type(), len(node.Content), len(node.Content))
+	for i, item := range node.Content {
+		d.value(item, items.Index(i), fmt.Sprintf("%s[%d]", path, i), field)
+	}
+	value.Set(items)
+}
