Serve the administration API with token, TLS and request limits

The twirp server had no listener. NewHTTPServer refuses to serve beyond loopback without TLS and token, also when the settings loader is bypassed. A publication continues when the operator's connection is lost; before, the cancelled request context would have ended it between two writes.

--- /dev/null
+++ b/internal/admin/http.go
@@ -0,0 +1,167 @@
+package admin
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"burdockrelay.example/burdockrelay/internal/config"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+	"burdockrelay.example/burdockrelay/internal/settings"
+	"burdockrelay.example/burdockrelay/proto/adminpb"
+)
+
+const (
+	// MaxRequestBytes bounds a request: the largest configuration in base64
+	// (JSON requests) and its file names.
+	MaxRequestBytes = config.MaxInputBytes/3*4 + 1<<20
+	// MaxTokenBytes and minTokenBytes bound the bearer token. A shorter token
+	// could be guessed.
+	MaxTokenBytes = 4_096
+	minTokenBytes = 16
+	// maxConcurrent bounds the requests in progress, because each may hold a
+	// whole configuration.
+	maxConcurrent     = 4
+	maxHeaderBytes    = 16 << 10
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = time.Minute
+	// writeTimeout is longer than the longest publication.
+	writeTimeout = maxPublishTimeout + time.Minute
+	idleTimeout  = time.Minute
+)
+
+// NewHTTPServer returns an HTTP server of the administration API with the
+// token, TLS and limits of the settings. It refuses to serve beyond loopback
+// without TLS and token.
+func NewHTTPServer(server *Server, administration settings.Administration) (*http.Server, error) {
+	token, err := tokenOf(administration.TokenFile)
+	if err != nil {
+		return nil, err
+	}
+	tlsConfig, err := tlsOf(administration)
+	if err != nil {
+		return nil, err
+	}
+	if !administration.Listen.Addr().IsLoopback() && (token == "" || tlsConfig == nil) {
+		return nil, resultcode.Errorf(resultcode.SettingsInsecure,
+			"administration listens on %s without TLS and token", administration.Listen)
+	}
+	return &http.Server{
+		Addr:              administration.Listen.String(),
+		Handler:           NewHandler(server, token),
+		TLSConfig:         tlsConfig,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+	}, nil
+}
+
+// Serve serves until the server is shut down, over TLS when it has a TLS
+// configuration. It returns http.ErrServerClosed after a shutdown.
+func Serve(server *http.Server, listener net.Listener) error {
+	if server.TLSConfig != nil {
+		return server.ServeTLS(listener, "", "")
+	}
+	return server.Serve(listener)
+}
+
+// ReadToken reads a bearer token from a file. Surrounding white space is not
+// part of the token.
+func ReadToken(path string) (string, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return "", resultcode.Errorf(resultcode.SettingsUnreadable, "read token: %w", err)
+	}
+	token := strings.TrimSpace(string(content))
+	if len(token) < minTokenBytes || len(token) > MaxTokenBytes {
+		return "", resultcode.Errorf(resultcode.SettingsInsecure, "the token in %s has %d bytes; use %d to %d random ones",
+			path, len(token), minTokenBytes, MaxTokenBytes)
+	}
+	return token, nil
+}
+
+func tokenOf(path string) (string, error) {
+	if path == "" {
+		return "", nil
+	}
+	return ReadToken(path)
+}
+
+func tlsOf(administration settings.Administration) (*tls.Config, error) {
+	if administration.TLSCertificate == "" {
+		return nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(administration.TLSCertificate, administration.TLSKey)
+	if err != nil {
+		return nil, resultcode.Errorf(resultcode.SettingsUnreadable, "load certificate: %w", err)
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{certificate}}, nil
+}
+
+// NewHandler serves the API with the limits on size and concurrency. An empty
+// token permits every request.
+func NewHandler(server *Server, token string) http.Handler {
+	return &handler{
+		next:  adminpb.NewAdministrationServer(server),
+		token: sha256.Sum256([]byte(token)),
+		open:  token == "",
+		slots: make(chan struct{}, maxConcurrent),
+	}
+}
+
+type handler struct {
+	next  http.Handler
+	token [sha256.Size]byte
+	open  bool
+	slots chan struct{}
+}
+
+// ServeHTTP checks the token and the limits before it reads the body.
+func (h *handler) ServeHTTP(response http.ResponseWriter, request *http.Request) {
+	if !h.authorized(request) {
+		fail(response, twirp.Unauthenticated, resultcode.AdminUnauthorized, "the bearer token is missing or wrong")
+		return
+	}
+	if request.ContentLength > MaxRequestBytes {
+		fail(response, twirp.InvalidArgument, resultcode.AdminBadRequest,
+			fmt.Sprintf("the request has %d bytes, more than %d", request.ContentLength, MaxRequestBytes))
+		return
+	}
+	select {
+	case h.slots <- struct{}{}:
+		defer func() { <-h.slots }()
+	default:
+		fail(response, twirp.ResourceExhausted, resultcode.AdminUnavailable, "too many requests at once; try again")
+		return
+	}
+	request.Body = http.MaxBytesReader(response, request.Body, MaxRequestBytes)
+	h.next.ServeHTTP(response, request)
+}
+
+// authorized compares hashes, so the time tells nothing about the token.
+func (h *handler) authorized(request *http.Request) bool {
+	if h.open {
+		return true
+	}
+	given, ok := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return false
+	}
+	sum := sha256.Sum256([]byte(given))
+	return subtle.ConstantTimeCompare(sum[:], h.token[:]) == 1
+}
+
+func fail(response http.ResponseWriter, kind twirp.ErrorCode, code resultcode.Code, message string) {
+	// The client may be gone; there is nobody else to tell.
+	_ = twirp.WriteError(response, withCode(twirp.NewError(kind, message), code, true))
+}
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -96,8 +97,11 @@
 
 // Publish checks, writes and accepts a configuration.
 func (s *Server) Publish(ctx context.Context, request *adminpb.PublishRequest) (*adminpb.PublishResponse, error) {
-	if request.GetAuthor() == "" {
-		return nil, twirp.RequiredArgumentError("author")
+	if len(request.GetAuthor()) < 1 || len(request.GetAuthor()) > config.MaxAuthorLength {
+		return nil, badRequest("author", fmt.Sprintf("must have 1 to %d bytes", config.MaxAuthorLength))
+	}
+	if len(request.GetNote()) > config.MaxNoteLength {
+		return nil, badRequest("note", fmt.Sprintf("must have at most %d bytes", config.MaxNoteLength))
 	}
 	configuration, faults := config.Parse(filesOf(request.GetFiles()))
 	if len(faults) > 0 {
@@ -107,7 +111,8 @@
 	if timeout == 0 {
 		timeout = DefaultPublishTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, min(timeout, maxPublishTimeout))
+	// An operator's lost connection must not abandon a publication half way.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), min(timeout, maxPublishTimeout))
 	defer cancel()
 	info := config.ReleaseInfo{Author: request.GetAuthor(), Note: request.GetNote(), CreatedAt: s.now()}
 	result, err := s.control.Publish(ctx, configuration, request.GetBaseRelease(), info)
@@ -194,6 +199,10 @@
 // ResultCodeMeta is the key of the result code in the metadata of an error.
 const ResultCodeMeta = "result_code"
 
+func badRequest(argument, message string) error {
+	return withCode(twirp.InvalidArgumentError(argument, message), resultcode.AdminBadRequest, true)
+}
+
 func twirpError(err error) error {
 	code, ok := resultcode.Of(err)
 	if errors.Is(err, context.DeadlineExceeded) {
