--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
 
+	"burdockrelay.example/burdockrelay/common"
 	"burdockrelay.example/burdockrelay/internal/resultcode"
 )
 
@@ -168,3 +173,171 @@
 		t.Fatalf("body states %s, %v", stated, err)
 	}
 }
+
+func contentOf(t testing.TB, release *Release) []byte {
+	t.Helper()
+	content, err := json.Marshal(release)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return content
+}
+
+// bodyOf makes a body with a correct hash from any content.
+func bodyOf(t testing.TB, content []byte) []byte {
+	t.Helper()
+	var buffer bytes.Buffer
+	buffer.WriteString(hashOf(content))
+	writer := gzip.NewWriter(&buffer)
+	if _, err := writer.Write(content); err != nil {
+		t.Fatal(err)
+	}
+	if err := writer.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return buffer.Bytes()
+}
+
+// Guards against an instance that accepts a release that the check would
+// refuse, although its hash is correct.
+func TestDecodeReleaseChecksTheContent(t *testing.T) {
+	content := string(contentOf(t, mustBuild(t, mustParse(t, sample), nil, ReleaseInfo{})))
+	cases := []struct {
+		name, old, new string
+		code           resultcode.Code
+	}{
+		{"unknown field", `{"number":1`, `{"extra":1,"number":1`, resultcode.ConfigSyntax},
+		{"not canonical", `{"number":1,`, `{"number": 1,`, resultcode.ConfigSyntax},
+		{"trailing text", `"quarantine":[]}`, `"quarantine":[]}{}`, resultcode.ConfigSyntax},
+		{"number 0", `"number":1`, `"number":0`, resultcode.ConfigOutOfRange},
+		{"no author", `"author":"tester"`, `"author":""`, resultcode.ConfigOutOfRange},
+		{"bad time", `"created_at":"2026`, `"created_at":"x026`, resultcode.ConfigOutOfRange},
+		{"unknown service", `"service":"crew-desk"`, `"service":"crew"`, resultcode.CheckUnknownName},
+		{"same address", `10.2.0.11:6081`, `10.1.0.11:6081`, resultcode.CheckOverlap},
+		{"same number", `{"id":2,"name":"crew-2"`, `{"id":1,"name":"crew-2"`, resultcode.ConfigOutOfRange},
+		{"no endpoint number", `{"id":2,"name":"crew-2"`, `{"name":"crew-2"`, resultcode.ConfigOutOfRange},
+		{"number not assigned", `"next_endpoint":3`, `"next_endpoint":2`, resultcode.ConfigOutOfRange},
+		{"no service number", `{"id":1,"name":"crew-desk"`, `{"name":"crew-desk"`, resultcode.ConfigOutOfRange},
+		{
+			"not sorted", `{"name":"fukuoka","data_centre":"fukuoka"},{"name":"kumamoto","data_centre":"kumamoto"}`,
+			`{"name":"kumamoto","data_centre":"kumamoto"},{"name":"fukuoka","data_centre":"fukuoka"}`, resultcode.ConfigSyntax,
+		},
+		{"weight", `"weight":50`, `"weight":0`, resultcode.ConfigOutOfRange},
+		{"bound", `"bound_percent":150`, `"bound_percent":50`, resultcode.ConfigOutOfRange},
+		{"selection", `"selection":"bounded"`, `"selection":"random"`, resultcode.ConfigOutOfRange},
+		{"protocol", `"protocol":"tcp"`, `"protocol":"sctp"`, resultcode.ConfigOutOfRange},
+		{"UDP", `"protocol":"tcp"`, `"protocol":"udp"`, resultcode.CheckUDPNotIdempotent},
+		{"port", `"port":443`, `"port":0`, resultcode.ConfigBadAddress},
+		{"IPv6", `"address":"198.51.100.10"`, `"address":"2001:db8::1"`, resultcode.ConfigBadAddress},
+		{"cycle", `{"name":"base",`, `{"name":"base","extends":"reports",`, resultcode.CheckCycle},
+		{
+			"quarantine in use", `"quarantine":[]`,
+			`"quarantine":[{"address":"endpoint/10.1.0.11:6081","service":"other","since":1}]`, resultcode.CheckAddressQuarantined,
+		},
+		{
+			"quarantine of the future", `"quarantine":[]`,
+			`"quarantine":[{"address":"endpoint/10.9.0.1:6081","service":"other","since":2}]`, resultcode.ConfigOutOfRange,
+		},
+		{
+			"quarantine twice", `"quarantine":[]`,
+			`"quarantine":[{"address":"endpoint/10.9.0.1:6081","service":"a","since":1},{"address":"endpoint/10.9.0.1:6081","service":"b","since":1}]`,
+			resultcode.ConfigOutOfRange,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if !strings.Contains(content, c.old) {
+				t.Fatalf("%s does not occur in %s", c.old, content)
+			}
+			_, err := DecodeRelease(bodyOf(t, []byte(strings.Replace(content, c.old, c.new, 1))))
+			if code, ok := resultcode.Of(err); !ok || err == nil || code != c.code {
+				t.Fatalf("want code %d, got %v", c.code, err)
+			}
+		})
+	}
+}
+
+// Guards against damage that goes unnoticed.
+func TestDecodeReleaseDetectsDamage(t *testing.T) {
+	body, _, err := mustBuild(t, mustParse(t, sample), nil, ReleaseInfo{}).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	bomb := bodyOf(t, make([]byte, maxContentBytes+1))
+	for name, damaged := range map[string][]byte{
+		"empty": nil, "hash only": body[:hashLength], "truncated": body[:len(body)-9],
+		"other hash": append([]byte("0"), body[1:]...), "bomb": bomb,
+	} {
+		if name == "other hash" && body[0] == '0' {
+			damaged[0] = '1'
+		}
+		if _, err := DecodeRelease(damaged); err == nil {
+			t.Errorf("%s: decoded", name)
+		} else if code, _ := resultcode.Of(err); code != resultcode.ReleaseHashMismatch {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// Guards against a number that stays when the address or the service changes,
+// and against one that changes without reason.
+func TestEndpointNumbersFollowIdentity(t *testing.T) {
+	first := mustBuild(t, mustParse(t, sample), nil, ReleaseInfo{})
+	same := mustBuild(t, mustParse(t, strings.Replace(sample, "weight: 50", "weight: 60", 1)), first, ReleaseInfo{})
+	moved := mustBuild(t, mustParse(t, strings.Replace(sample, "10.2.0.11:6081", "10.2.0.12:6081", 1)), same, ReleaseInfo{})
+	back := mustBuild(t, mustParse(t, sample), moved, ReleaseInfo{})
+	renamed := mustBuild(t, mustParse(t, strings.Replace(sample, "crew-2", "crew-9", 1)), back, ReleaseInfo{})
+	for i, want := range []struct {
+		release *Release
+		name    string
+		id      common.EndpointID
+	}{{first, "crew-2", 2}, {same, "crew-2", 2}, {moved, "crew-2", 3}, {back, "crew-2", 4}, {renamed, "crew-9", 5}, {renamed, "crew-1", 1}} {
+		endpoint, ok := want.release.EndpointByName(want.name)
+		if !ok || endpoint.ID != want.id {
+			t.Errorf("case %d: %s has %+v, want number %d", i, want.name, endpoint, want.id)
+		}
+	}
+}
+
+// Guards against a full quarantine that drops addresses silently.
+func TestFullQuarantineIsRefused(t *testing.T) {
+	first := mustBuild(t, mustParse(t, sample), nil, ReleaseInfo{})
+	for i := range MaxQuarantine {
+		first.Quarantine = append(first.Quarantine, QuarantinedAddress{
+			Address: fmt.Sprintf("endpoint/10.100.%d.%d:6081", i>>8, i&255), Service: "old", Since: 1,
+		})
+	}
+	changed := mustParse(t, strings.Replace(sample, "10.2.0.11:6081", "10.2.0.12:6081", 1))
+	info := ReleaseInfo{Author: "a", CreatedAt: testTime}
+	if _, faults := BuildRelease(changed, first, info); len(faults) != 1 || faults[0].Code != resultcode.CheckLimit {
+		t.Fatalf("got %v", faults)
+	}
+	info.OldestInForce = 1
+	if _, faults := BuildRelease(changed, first, info); len(faults) != 0 {
+		t.Fatalf("got %v", faults)
+	}
+}
+
+// Guards against a difference that hides what an operator changed.
+func TestDiffNamesTheChangedFields(t *testing.T) {
+	first := mustBuild(t, mustParse(t, sample), nil, ReleaseInfo{})
+	text := strings.Replace(sample, "idle_timeout: 30m", "idle_timeout: 20m", 1)
+	text = strings.Replace(text, "weight: 50", "weight: 60", 1)
+	text = strings.Replace(text, "name: crew-1", "name: crew-3", 1)
+	text = strings.Replace(text, "port: 443", "port: 444", 1)
+	changes := Diff(first, mustBuild(t, mustParse(t, text), first, ReleaseInfo{}))
+	want := []Change{
+		{"Policy", "base", ActionChanged, "idle_timeout: 1800s to 1200s"},
+		{"Policy", "reports", ActionChanged, "idle_timeout: 1800s to 1200s"},
+		{"Service", "crew-desk", ActionChanged, "port: 443 to 444"},
+		{"Endpoint", "crew-1", ActionRemoved, ""},
+		{"Endpoint", "crew-2", ActionChanged, "weight: 50 to 60"},
+		{"Endpoint", "crew-3", ActionAdded, ""},
+	}
+	if !reflect.DeepEqual(changes, want) {
+		t.Fatalf("got %v", changes)
+	}
+	if changes := Diff(nil, first); len(changes) != 9 {
+		t.Fatalf("%d changes from nothing: %v", len(changes), changes)
+	}
+}
--- /dev/null
+++ b/internal/config/property_test.go
@@ -0,0 +1,197 @@
+package config
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"burdockrelay.example/burdockrelay/common"
+)
+
+// propertySeed makes the runs repeatable; a failure prints it.
+const propertySeed = 20260401
+
+func runProperty(t *testing.T, name string, property gopter.Prop) {
+	t.Helper()
+	t.Logf("seed %d", propertySeed)
+	parameters := gopter.DefaultTestParametersWithSeed(propertySeed)
+	parameters.MinSuccessfulTests = 300
+	properties := gopter.NewProperties(parameters)
+	properties.Property(name, property)
+	properties.TestingRun(t)
+}
+
+func anyChoices(length int) gopter.Gen {
+	return gen.SliceOfN(length, gen.UInt8())
+}
+
+// Guards against a release that changes when it is stored and read.
+func TestPropertyEncodeDecodeIsIdentity(t *testing.T) {
+	runProperty(t, "decode(encode(r)) == r", prop.ForAll(func(bytes []uint8, author, note string) (bool, error) {
+		configuration, faults := Parse(filesOf(documentsOf(&choices{bytes}), 1))
+		if len(faults) > 0 {
+			return false, fmt.Errorf("generated configuration: %v", faults)
+		}
+		info := ReleaseInfo{Author: "a" + author, Note: note, CreatedAt: testTime}
+		release, faults := BuildRelease(configuration, nil, info)
+		if len(faults) > 0 {
+			// gopter also generates texts beyond the limits.
+			if len(author) >= MaxAuthorLength || len(note) > MaxNoteLength {
+				return true, nil
+			}
+			return false, fmt.Errorf("build: %v", faults)
+		}
+		body, hash, err := release.Encode()
+		if err != nil {
+			return false, err
+		}
+		decoded, err := DecodeRelease(body)
+		if err != nil {
+			return false, err
+		}
+		_, again, err := decoded.Encode()
+		return reflect.DeepEqual(release, decoded) && again == hash, err
+	}, anyChoices(60), gen.AnyString(), gen.AnyString()))
+}
+
+// Guards against a hash that depends on the order of files or documents, which
+// would report changes where there are none.
+func TestPropertyHashIgnoresFileOrder(t *testing.T) {
+	runProperty(t, "hash(shuffle(files)) == hash(files)", prop.ForAll(func(bytes []uint8, seed uint64, fileCount int) (bool, error) {
+		documents := documentsOf(&choices{bytes})
+		first, faults := Parse(filesOf(documents, 1))
+		if len(faults) > 0 {
+			return false, fmt.Errorf("generated configuration: %v", faults)
+		}
+		random := rand.New(rand.NewPCG(seed, 0))
+		random.Shuffle(len(documents), func(i, j int) { documents[i], documents[j] = documents[j], documents[i] })
+		second, faults := Parse(filesOf(documents, fileCount))
+		if len(faults) > 0 {
+			return false, fmt.Errorf("shuffled configuration: %v", faults)
+		}
+		if first.Hash() != second.Hash() {
+			return false, fmt.Errorf("hash %s became %s", first.Hash(), second.Hash())
+		}
+		return releaseHash(first) == releaseHash(second), nil
+	}, anyChoices(60), gen.UInt64(), gen.IntRange(1, 5)))
+}
+
+func releaseHash(c *Configuration) string {
+	release, faults := BuildRelease(c, nil, ReleaseInfo{Author: "a", CreatedAt: testTime})
+	if len(faults) > 0 {
+		return fmt.Sprint(faults)
+	}
+	_, hash, err := release.Encode()
+	if err != nil {
+		return err.Error()
+	}
+	return hash
+}
+
+// history publishes random configurations one after the other.
+type history struct {
+	releases []*Release
+	refused  int
+	oldest   uint64
+}
+
+func publishAll(bytes []uint8, observe func(h *history, release *Release) error) (*history, error) {
+	h := &history{}
+	c := &choices{bytes}
+	for range 12 {
+		configuration, faults := Parse(filesOf(documentsOf(c), 1))
+		if len(faults) > 0 {
+			return nil, fmt.Errorf("generated configuration: %v", faults)
+		}
+		var previous *Release
+		if len(h.releases) > 0 {
+			previous = h.releases[len(h.releases)-1]
+			// The oldest release in force never goes back.
+			h.oldest += uint64(c.pick(int(previous.Number-h.oldest) + 1))
+		}
+		release, faults := BuildRelease(configuration, previous, ReleaseInfo{
+			Author: "a", CreatedAt: testTime, OldestInForce: h.oldest,
+		})
+		if len(faults) > 0 {
+			h.refused++
+			continue
+		}
+		h.releases = append(h.releases, release)
+		if err := observe(h, release); err != nil {
+			return nil, err
+		}
+	}
+	return h, nil
+}
+
+// Guards against an endpoint or service number that names two things over time,
+// which would send flows of an old endpoint to a new one (P2).
+func TestPropertyNumbersAreNeverReused(t *testing.T) {
+	runProperty(t, "number identifies one endpoint", prop.ForAll(func(bytes []uint8) (bool, error) {
+		owners := map[common.EndpointID]endpointIdentity{}
+		services := map[common.ServiceID]string{}
+		gone := map[common.EndpointID]bool{}
+		_, err := publishAll(bytes, func(_ *history, release *Release) error {
+			present := map[common.EndpointID]bool{}
+			for identity, id := range release.endpointNumbers() {
+				if owner, ok := owners[id]; ok && owner != identity {
+					return fmt.Errorf("endpoint number %d was %v and is %v", id, owner, identity)
+				}
+				if gone[id] {
+					return fmt.Errorf("endpoint number %d returned", id)
+				}
+				owners[id] = identity
+				present[id] = true
+			}
+			for id := range owners {
+				gone[id] = !present[id]
+			}
+			for name, id := range release.serviceNumbers() {
+				if owner, ok := services[id]; ok && owner != name {
+					return fmt.Errorf("service number %d was %s and is %s", id, owner, name)
+				}
+				services[id] = name
+			}
+			return nil
+		})
+		return err == nil, err
+	}, anyChoices(600)))
+}
+
+// Guards against an address that two services use at the same time in different
+// releases that instances may have in force (P2).
+func TestPropertyAddressesDoNotMoveWithoutQuarantine(t *testing.T) {
+	refused, moved := 0, 0
+	runProperty(t, "an address has one service among the releases in force", prop.ForAll(func(bytes []uint8) (bool, error) {
+		h, err := publishAll(bytes, func(h *history, release *Release) error {
+			uses := release.uses()
+			for _, older := range h.releases {
+				for address, service := range older.uses() {
+					if now, ok := uses[address]; ok && now != service {
+						if older.Number < h.oldest {
+							moved++
+							continue
+						}
+						return fmt.Errorf("%s is %s in release %d and %s in release %d, oldest in force %d",
+							address, service, older.Number, now, release.Number, h.oldest)
+					}
+				}
+			}
+			return nil
+		})
+		if err == nil {
+			refused += h.refused
+		}
+		return err == nil, err
+	}, anyChoices(600)))
+	// The property holds trivially when no address ever moves.
+	if refused == 0 || moved == 0 {
+		t.Fatalf("%d publications refused, %d addresses moved: the cases are too tame", refused, moved)
+	}
+	t.Logf("%d publications refused, %d addresses moved", refused, moved)
+}
--- /dev/null
+++ b/internal/config/scale_test.go
@@ -0,0 +1,63 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+)
+
+// Guards against a release that the platform cannot store at the target scale:
+// values have up to a megabyte, and the body is base64 in a JSON object.
+func TestTargetScaleFitsInOneObject(t *testing.T) {
+	const services, endpoints = 1_900, 14_000
+	text := targetScale(1, services, endpoints)
+	started := time.Now()
+	configuration := mustParse(t, text)
+	parsed := time.Since(started)
+	release := mustBuild(t, configuration, nil, ReleaseInfo{})
+	started = time.Now()
+	body, _, err := release.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	encoded := time.Since(started)
+	started = time.Now()
+	if _, err := DecodeRelease(body); err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("YAML %d bytes, body %d bytes, parse %v, encode %v, decode %v",
+		len(text), len(body), parsed, encoded, time.Since(started))
+	if stored := len(body) * 4 / 3; stored >= 1_000_000 {
+		t.Fatalf("the body has %d bytes in base64", stored)
+	}
+	// Every address is in quarantine after all of them were replaced at once.
+	for i := range release.Services {
+		release.Quarantine = append(release.Quarantine, QuarantinedAddress{
+			Address: fmt.Sprintf("tcp/203.113.%d.%d:443", i>>8, i&255), Service: release.Services[i].Name, Since: 1,
+		})
+	}
+	for i := range endpoints {
+		hash := uint32(i) * 2654435761
+		release.Quarantine = append(release.Quarantine, QuarantinedAddress{
+			Address: fmt.Sprintf("endpoint/10.%d.%d.%d:6081", hash>>24, hash>>16&255, i&255),
+			Service: release.Services[i%services].Name, Since: 1,
+		})
+	}
+	body, _, err = release.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("body with %d addresses in quarantine: %d bytes", len(release.Quarantine), len(body))
+}
+
+// Guards against a release that is written but cannot be stored.
+func TestTooLargeReleaseIsRefused(t *testing.T) {
+	release := mustBuild(t, mustParse(t, targetScale(2, MaxServices, MaxEndpoints)), nil, ReleaseInfo{})
+	_, _, err := release.Encode()
+	if code, _ := resultcode.Of(err); err != nil && code != resultcode.PublishTooLarge {
+		t.Fatal(err)
+	}
+	t.Logf("the largest configuration: %v", err)
+}
