Add burdockctl

check works without a daemon. publish sends the release that the difference was computed from as its base, so that a race becomes a conflict. A response that is lost or not confirmed is resolved by reading the history and comparing the hash, or author, note and configuration; it is never published again. status and history stay within 40 columns and print no control characters.

--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,532 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+	"unicode/utf8"
+
+	"go.uber.org/zap"
+
+	"burdockrelay.example/burdockrelay/internal/admin"
+	"burdockrelay.example/burdockrelay/internal/config"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+	"burdockrelay.example/burdockrelay/proto/adminpb"
+)
+
+// fakeControl accepts releases in memory.
+type fakeControl struct {
+	mu       sync.Mutex
+	accepted []*config.Release
+	hashes   []string
+	calls    atomic.Int32
+	// unconfirmed makes the next publication report PublishUnconfirmed.
+	unconfirmed bool
+	status      *adminpb.StatusResponse
+	drains      map[string]bool
+}
+
+func (f *fakeControl) Accepted() *config.Release {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.accepted) == 0 {
+		return nil
+	}
+	return f.accepted[len(f.accepted)-1]
+}
+
+func (f *fakeControl) Publish(_ context.Context, c *config.Configuration, base uint64, info config.ReleaseInfo) (admin.PublishResult, error) {
+	f.calls.Add(1)
+	newest := f.Accepted()
+	if base != 0 && newest.Number != base {
+		return admin.PublishResult{
+			Code:     resultcode.PublishConflict,
+			Conflict: &admin.Conflict{Release: newest.Number, Author: newest.Author, Changes: config.Diff(f.accepted[base-1], newest)},
+		}, nil
+	}
+	release, faults := config.BuildRelease(c, newest, info)
+	if len(faults) > 0 {
+		return admin.PublishResult{Code: faults[0].Code, Faults: faults}, nil
+	}
+	_, hash, err := release.Encode()
+	if err != nil {
+		return admin.PublishResult{}, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.accepted = append(f.accepted, release)
+	f.hashes = append(f.hashes, hash)
+	if f.unconfirmed {
+		return admin.PublishResult{Code: resultcode.PublishUnconfirmed, Release: release.Number, Hash: hash, Message: "no answer"}, nil
+	}
+	return admin.PublishResult{Release: release.Number, Hash: hash, Acknowledged: 4}, nil
+}
+
+// publishAs publishes a configuration for another operator.
+func (f *fakeControl) publishAs(t *testing.T, author string, endpoints int) {
+	t.Helper()
+	configuration, faults := config.Parse([]config.File{{Name: "other.yaml", Content: []byte(text(endpoints))}})
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	if _, err := f.Publish(t.Context(), configuration, 0, config.ReleaseInfo{Author: author, CreatedAt: time.Now()}); err != nil {
+		t.Fatal(err)
+	}
+	f.calls.Store(0)
+}
+
+func (f *fakeControl) Status(context.Context) (*adminpb.StatusResponse, error) { return f.status, nil }
+
+func (f *fakeControl) History(_ context.Context, limit int) ([]*adminpb.ReleaseSummary, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var summaries []*adminpb.ReleaseSummary
+	for i := len(f.accepted) - 1; i >= 0 && len(summaries) < limit; i-- {
+		summaries = append(summaries, &adminpb.ReleaseSummary{
+			Number: f.accepted[i].Number, Author: f.accepted[i].Author, Note: f.accepted[i].Note, Hash: f.hashes[i],
+			AcceptedAt: "2026-04-01T06:00:00Z", InForce: i == len(f.accepted)-1,
+		})
+	}
+	return summaries, nil
+}
+
+func (f *fakeControl) Drain(_ context.Context, endpoint string, draining bool) (bool, error) {
+	f.drains[endpoint] = draining
+	return false, nil
+}
+
+func text(endpoints int) string {
+	var b strings.Builder
+	b.WriteString("kind: Place\nname: fukuoka\n---\nkind: Service\nname: desk\naddress: 198.51.100.10\nport: 443\nprotocol: tcp\n---\n")
+	b.WriteString("kind: Rule\nname: desk\nservice: desk\nbackend_set: desk\n---\nkind: BackendSet\nname: desk\nendpoints:\n")
+	for i := 1; i <= endpoints; i++ {
+		fmt.Fprintf(&b, "  - {name: desk-%d, place: fukuoka, address: \"10.0.0.%d:6081\", health: \"10.0.0.%d:8080\"}\n", i, i, i)
+	}
+	return b.String()
+}
+
+func write(t *testing.T, content string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "desk.yaml")
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// fixture is a server whose Publish requests pass through a hook.
+type fixture struct {
+	control *fakeControl
+	url     string
+	// before runs before a publication reaches the server; the request is lost
+	// when it returns false.
+	before func() bool
+	// loseResponse closes the connection after the publication.
+	loseResponse bool
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{control: &fakeControl{drains: map[string]bool{}, status: &adminpb.StatusResponse{}}}
+	handler := admin.NewHandler(admin.NewServer(f.control, zap.NewNop()), "")
+	server := httptest.NewServer(http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
+		if !strings.HasSuffix(request.URL.Path, "/Publish") {
+			handler.ServeHTTP(response, request)
+			return
+		}
+		if f.before != nil && !f.before() {
+			panic(http.ErrAbortHandler)
+		}
+		if !f.loseResponse {
+			handler.ServeHTTP(response, request)
+			return
+		}
+		handler.ServeHTTP(httptest.NewRecorder(), request)
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(server.Close)
+	f.url = server.URL
+	return f
+}
+
+func run(t *testing.T, args ...string) (exit ExitCode, stdout, stderr string) {
+	t.Helper()
+	var output, errors bytes.Buffer
+	exit = Run(t.Context(), args, Environment{
+		Stdout: &output, Stderr: &errors, Version: "1.2.3", RetryInterval: 10 * time.Millisecond,
+		Getenv: func(name string) string { return map[string]string{"USER": "aiko"}[name] },
+	})
+	return exit, output.String(), errors.String()
+}
+
+func (f *fixture) run(t *testing.T, args ...string) (exit ExitCode, stdout, stderr string) {
+	t.Helper()
+	return run(t, append(args, "-server", f.url)...)
+}
+
+func wantExit(t *testing.T, want, got ExitCode, outputs ...string) {
+	t.Helper()
+	if got != want {
+		t.Fatalf("exit code %d, want %d: %s", got, want, strings.Join(outputs, "\n"))
+	}
+}
+
+func wantText(t *testing.T, output string, parts ...string) {
+	t.Helper()
+	for _, part := range parts {
+		if !strings.Contains(output, part) {
+			t.Errorf("%q is missing in:\n%s", part, output)
+		}
+	}
+}
+
+// Guards against a check that needs a daemon, and against wrong exit codes.
+func TestCheckWorksWithoutDaemon(t *testing.T) {
+	exit, stdout, stderr := run(t, "check", "../../examples/office")
+	wantExit(t, ExitDone, exit, stdout, stderr)
+	wantText(t, stdout, "2 services, 19 endpoints")
+	faulty := write(t, strings.Replace(text(1), "port: 443", "port: 443s", 1))
+	exit, stdout, stderr = run(t, "check", faulty)
+	wantExit(t, ExitFaults, exit, stdout, stderr)
+	wantText(t, stdout, faulty+":7: code 2003", "write a whole number")
+	exit, stdout, _ = run(t, "check", faulty, "-o", "json")
+	wantExit(t, ExitFaults, exit, stdout)
+	var decoded struct{ Faults []config.Fault }
+	if err := json.Unmarshal([]byte(stdout), &decoded); err != nil || len(decoded.Faults) != 1 || decoded.Faults[0].Line != 7 {
+		t.Fatal(stdout, err)
+	}
+}
+
+// Guards against command lines that are accepted although they are wrong.
+func TestUsage(t *testing.T) {
+	for _, args := range [][]string{
+		{},
+		{"frobnicate"},
+		{"check"},
+		{"status", "x"},
+		{"check", "-x", "f"},
+		{"status", "-o", "xml"},
+		{"check", "no-such-file"},
+		{"check", t.TempDir()},
+		{"drain"},
+		{"status", "-settings", "no-such-file"},
+		{"status", "-server", "http://192.0.2.1:1", "-token-file", "../../go.mod"},
+	} {
+		exit, stdout, stderr := run(t, args...)
+		if exit != ExitUsage || stderr == "" {
+			t.Errorf("%q: exit code %d: %s%s", args, exit, stdout, stderr)
+		}
+	}
+	for _, args := range [][]string{{"help"}, {"-h"}, {"publish", "-h"}, {"version"}} {
+		exit, stdout, stderr := run(t, args...)
+		if exit != ExitDone || stdout+stderr == "" {
+			t.Errorf("%q: exit code %d", args, exit)
+		}
+	}
+	for name, sub := range subcommands {
+		_, _, stderr := run(t, name, "-h")
+		if len(sub.examples) == 0 || !strings.Contains(stderr, sub.examples[0]) {
+			t.Errorf("%s: the help has no example: %s", name, stderr)
+		}
+	}
+}
+
+// Guards against an unreachable server that looks like another failure.
+func TestUnreachableServer(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	file := write(t, text(1))
+	for _, args := range [][]string{{"status"}, {"history"}, {"diff", file}, {"publish", file}, {"drain", "desk-1"}} {
+		exit, stdout, stderr := run(t, append(args, "-server", server.URL)...)
+		if exit != ExitUnreachable {
+			t.Errorf("%q: exit code %d: %s%s", args, exit, stdout, stderr)
+		}
+	}
+	exit, stdout, _ := run(t, "status", "-server", server.URL, "-o", "json")
+	wantExit(t, ExitUnreachable, exit, stdout)
+	wantText(t, stdout, `"result_code": 6002`, `"exit_code": 5`)
+}
+
+// Guards against a publication that does not tell what it did, and against a
+// second release of an unchanged configuration.
+func TestPublishAndDiff(t *testing.T) {
+	f := newFixture(t)
+	file := write(t, text(2))
+	exit, stdout, stderr := f.run(t, "diff", file)
+	wantExit(t, ExitDone, exit, stderr)
+	wantText(t, stdout, "6 changes from release 0", "+ Endpoint desk-2")
+	exit, stdout, stderr = f.run(t, "publish", "-note", "start", file)
+	wantExit(t, ExitDone, exit, stderr)
+	wantText(t, stdout, "release 1 is accepted", "loaded by 4 instances")
+	exit, stdout, stderr = f.run(t, "publish", file)
+	wantExit(t, ExitDone, exit, stderr)
+	wantText(t, stdout, "nothing to publish: release 1")
+	if calls := f.control.calls.Load(); calls != 1 {
+		t.Fatalf("%d publications", calls)
+	}
+	exit, stdout, stderr = f.run(t, "history")
+	wantExit(t, ExitDone, exit, stderr)
+	wantText(t, stdout, "1 aiko IN FORCE", "2026-04-01T06:00:00Z", "start")
+}
+
+// Guards against a loser of a race who is not told whose release came between
+// and what it changed.
+func TestPublishLosesRace(t *testing.T) {
+	f := newFixture(t)
+	f.control.publishAs(t, "aiko", 1)
+	f.before = func() bool {
+		f.control.publishAs(t, "baraka", 3)
+		return true
+	}
+	exit, stdout, stderr := f.run(t, "publish", write(t, text(2)))
+	wantExit(t, ExitConflict, exit, stdout, stderr)
+	wantText(t, stdout, "release 2 by baraka came between", "+ Endpoint desk-2", "+ Endpoint desk-3")
+	wantText(t, stderr, "code 2200", "nothing was published")
+}
+
+// Guards against a lost response that is reported as a failure or repeated.
+func TestPublishWithLostResponseIsResolvedByReading(t *testing.T) {
+	f := newFixture(t)
+	f.control.publishAs(t, "aiko", 1)
+	f.loseResponse = true
+	exit, stdout, stderr := f.run(t, "publish", write(t, text(2)))
+	wantExit(t, ExitDone, exit, stdout, stderr)
+	wantText(t, stdout, "release 2 is accepted", "confirmed by the history")
+	if calls := f.control.calls.Load(); calls != 1 {
+		t.Fatalf("%d publications", calls)
+	}
+}
+
+// Guards against a success that another release followed, reported as conflict.
+func TestPublishWithLostResponseAndFollower(t *testing.T) {
+	for name, unconfirmed := range map[string]bool{"response lost": false, "hash known": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.control.publishAs(t, "aiko", 1)
+			f.control.unconfirmed = unconfirmed
+			file := write(t, text(2))
+			f.before = func() bool {
+				configuration, _ := config.Parse([]config.File{{Name: file, Content: []byte(text(2))}})
+				if _, err := f.control.Publish(t.Context(), configuration, 1, config.ReleaseInfo{Author: "aiko", CreatedAt: time.Now()}); err != nil {
+					t.Error(err)
+				}
+				f.control.publishAs(t, "baraka", 3)
+				return false
+			}
+			if unconfirmed {
+				// The server answers, so the history alone decides.
+				f.before = nil
+			}
+			exit, stdout, stderr := f.run(t, "publish", file)
+			wantExit(t, ExitDone, exit, stdout, stderr)
+			wantText(t, stdout, "release 2 is accepted")
+			if !unconfirmed {
+				wantText(t, stdout, "release 3 by baraka has followed")
+			}
+		})
+	}
+}
+
+// Guards against a guess when nothing is known: the request was lost and no
+// release was accepted.
+func TestPublishThatIsNotConfirmed(t *testing.T) {
+	f := newFixture(t)
+	f.control.publishAs(t, "aiko", 1)
+	f.before = func() bool { return false }
+	exit, stdout, stderr := f.run(t, "publish", "-timeout", "500ms", write(t, text(2)))
+	wantExit(t, ExitUnconfirmed, exit, stdout, stderr)
+	wantText(t, stderr, "code 2203", "history")
+	if calls := f.control.calls.Load(); calls != 0 {
+		t.Fatalf("%d publications", calls)
+	}
+}
+
+// Guards against a lost request that is reported as open although another
+// release has taken its place.
+func TestPublishLostAndOvertaken(t *testing.T) {
+	f := newFixture(t)
+	f.control.publishAs(t, "aiko", 1)
+	f.before = func() bool {
+		f.control.publishAs(t, "baraka", 3)
+		return false
+	}
+	exit, stdout, stderr := f.run(t, "publish", write(t, text(2)))
+	wantExit(t, ExitConflict, exit, stdout, stderr)
+	wantText(t, stdout, "release 2 by baraka came between", "- Endpoint desk-3")
+}
+
+// Guards against a conflict verdict for a first publication: without a base the
+// server may still publish it.
+func TestFirstPublishLostAndOvertakenStaysOpen(t *testing.T) {
+	f := newFixture(t)
+	f.before = func() bool {
+		f.control.publishAs(t, "baraka", 3)
+		return false
+	}
+	exit, stdout, stderr := f.run(t, "publish", "-timeout", "500ms", write(t, text(2)))
+	wantExit(t, ExitUnconfirmed, exit, stdout, stderr)
+}
+
+// Guards against a drain of an unknown endpoint that exits with 0.
+func TestDrain(t *testing.T) {
+	f := newFixture(t)
+	f.control.publishAs(t, "aiko", 2)
+	exit, stdout, stderr := f.run(t, "drain", "desk-1", "desk-2")
+	wantExit(t, ExitDone, exit, stderr)
+	wantText(t, stdout, "desk-1: draining true, in force; the platform does not hold it yet", "desk-2")
+	if !f.control.drains["desk-1"] || !f.control.drains["desk-2"] {
+		t.Fatal(f.control.drains)
+	}
+	exit, _, stderr = f.run(t, "undrain", "desk-1")
+	wantExit(t, ExitDone, exit, stderr)
+	if f.control.drains["desk-1"] {
+		t.Fatal("still draining")
+	}
+	exit, stdout, stderr = f.run(t, "drain", "desk-9")
+	wantExit(t, ExitFailed, exit, stdout, stderr)
+	wantText(t, stderr, "code 6003", "desk-9")
+	exit, stdout, _ = f.run(t, "drain", "desk-9", "-o", "json")
+	wantExit(t, ExitFailed, exit, stdout)
+	wantText(t, stdout, `"result_code": 6003`)
+}
+
+func wantWidth(t *testing.T, output string) {
+	t.Helper()
+	for line := range strings.SplitSeq(output, "\n") {
+		if utf8.RuneCountInString(line) > statusWidth {
+			t.Errorf("%d columns: %q", utf8.RuneCountInString(line), line)
+		}
+	}
+}
+
+// Guards against a status that wraps on a phone, hides trouble, or differs from
+// docs/operations.md.
+func TestStatusReadsAtFortyColumns(t *testing.T) {
+	f := newFixture(t)
+	f.control.status = sampleStatus()
+	exit, stdout, stderr := f.run(t, "status")
+	wantExit(t, ExitDone, exit, stderr)
+	wantWidth(t, stdout)
+	want := `ATTENTION: 6 findings
+! oita-2 is suspect
+! oita-3 is fenced
+! oita-4 has release 11
+! crew-desk: 1 of 3 endpoints are down
+! input platform is stale for 95s
+! view not settled: new flows follow the
+  hash only
+release 12 0123456789ab
+seen from oita, view not settled
+INSTANCES 3 of 4 serving
+oita-1* serving r12
+  9600 flows, exceptions 12 own 8 held,
+    3100B/s
+oita-2 suspect r12
+oita-3 serving r12
+oita-4 serving r11
+SERVICES 2
+crew-desk 1 up, 1 draining, 1 down
+  crew-2 draining
+    load 4 (0.5s old), 120 flows
+  crew-3 down
+    load 0 (0.0s old), 0 flows
+drawing-store 1 up
+INPUTS
+endpoints ok 0.4s
+platform stale 95s
+`
+	if stdout != want {
+		t.Errorf("got:\n%s\nwant:\n%s", stdout, want)
+	}
+	_, stdout, _ = f.run(t, "status", "-all")
+	wantText(t, stdout, "crew-1 up")
+	exit, stdout, _ = f.run(t, "status", "-o", "json")
+	wantExit(t, ExitDone, exit)
+	var decoded map[string]any
+	if err := json.Unmarshal([]byte(stdout), &decoded); err != nil || decoded["release_hash"] != "0123456789abcdef" {
+		t.Fatal(decoded, err)
+	}
+}
+
+func sampleStatus() *adminpb.StatusResponse {
+	return &adminpb.StatusResponse{
+		Release: 12, ReleaseHash: "0123456789abcdef", DataCentre: "oita",
+		Instances: []*adminpb.InstanceStatus{
+			{Name: "oita-1", State: "serving", Release: 12, Self: true, OpenFlows: 9600, ExceptionsOwned: 12, ExceptionsHeld: 8, ControlBytesPerSecond: 3100},
+			{Name: "oita-2", State: "suspect", Release: 12},
+			{Name: "oita-3", State: "serving", Release: 12, Fenced: true},
+			{Name: "oita-4", State: "serving", Release: 11},
+		},
+		Endpoints: []*adminpb.EndpointStatus{
+			{Name: "crew-1", Service: "crew-desk", State: "up"},
+			{Name: "crew-2", Service: "crew-desk", State: "draining", Load: 4, LoadAgeMs: 500, OpenFlows: 120},
+			{Name: "crew-3", Service: "crew-desk", State: "down"},
+			{Name: "store-1", Service: "drawing-store", State: "up"},
+		},
+		Inputs: []*adminpb.InputStatus{{Name: "endpoints", AgeMs: 400, State: "ok"}, {Name: "platform", AgeMs: 95_000, State: "stale"}},
+	}
+}
+
+// Guards against lines beyond 40 columns with the longest names and largest
+// numbers, and against escape sequences from other operators' texts.
+func TestLongAndHostileTextsStayReadable(t *testing.T) {
+	f := newFixture(t)
+	long := strings.Repeat("n", config.MaxNameLength)
+	f.control.status = &adminpb.StatusResponse{
+		Release: 1 << 62, ReleaseHash: strings.Repeat("f", 64), DataCentre: long, InvariantViolations: 1 << 62,
+		Instances: []*adminpb.InstanceStatus{{
+			Name: long, State: "dead", Release: 1 << 62, OpenFlows: 1 << 62, ExceptionsOwned: 1 << 62, ExceptionsHeld: 1 << 62, ControlBytesPerSecond: 1 << 62,
+		}},
+		Endpoints: []*adminpb.EndpointStatus{{Name: long, Service: long, State: "down", Load: 1 << 31, LoadAgeMs: 1 << 31, OpenFlows: 1 << 31}},
+		Inputs:    []*adminpb.InputStatus{{Name: "\x1b[31mred", AgeMs: 1 << 62, State: "lost\x07"}},
+	}
+	exit, stdout, stderr := f.run(t, "status", "-all")
+	wantExit(t, ExitDone, exit, stderr)
+	wantWidth(t, stdout)
+	f.control.publishAs(t, "m\x1b[2Ja-"+strings.Repeat("é", 60), 1)
+	f.control.accepted[0].Note = strings.Repeat("word ", 30)
+	exit, history, stderr := f.run(t, "history")
+	wantExit(t, ExitDone, exit, stderr)
+	wantWidth(t, history)
+	if strings.ContainsAny(stdout+history, "\x1b\x07") {
+		t.Errorf("control characters in %q", stdout+history)
+	}
+}
+
+// Guards against a token that leaves for a server without TLS or is not sent.
+func TestTokenIsSent(t *testing.T) {
+	control := &fakeControl{status: &adminpb.StatusResponse{}}
+	server := httptest.NewServer(admin.NewHandler(admin.NewServer(control, zap.NewNop()), "secret-token-0000"))
+	defer server.Close()
+	exit, _, stderr := run(t, "status", "-server", server.URL)
+	wantExit(t, ExitFailed, exit, stderr)
+	wantText(t, stderr, "code 6000")
+	token := write(t, "secret-token-0000\n")
+	exit, _, stderr = run(t, "status", "-server", server.URL, "-token-file", token)
+	wantExit(t, ExitDone, exit, stderr)
+	exit, _, stderr = run(t, "status", "-server", "http://192.0.2.1:7090", "-token-file", token)
+	wantExit(t, ExitUsage, exit, stderr)
+	wantText(t, stderr, "without TLS")
+}
+
+// Guards against check -online that ignores what only the server knows.
+func TestCheckOnline(t *testing.T) {
+	f := newFixture(t)
+	f.control.publishAs(t, "aiko", 1)
+	moved := write(t, strings.ReplaceAll(strings.ReplaceAll(text(1), "desk", "shelf"), "198.51.100.10", "198.51.100.11"))
+	exit, stdout, stderr := f.run(t, "check", moved)
+	wantExit(t, ExitDone, exit, stdout, stderr)
+	exit, stdout, stderr = f.run(t, "check", "-online", moved)
+	wantExit(t, ExitFaults, exit, stdout, stderr)
+	wantText(t, stdout, "code 2107")
+}
--- /dev/null
+++ b/internal/ctl/status.go
@@ -0,0 +1,287 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+
+	"burdockrelay.example/burdockrelay/proto/adminpb"
+)
+
+// statusWidth is the width of a phone's terminal. Lines of status and history
+// never exceed it.
+const statusWidth = 40
+
+// hashDigits is how much of a hash is shown: 48 bits identify a release.
+const hashDigits = 12
+
+func (c *command) status(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, c.client.Timeout)
+	defer cancel()
+	response, err := c.api.Status(ctx, &adminpb.StatusRequest{})
+	if err != nil {
+		return err
+	}
+	if c.output == "json" {
+		return c.printProto(response)
+	}
+	printStatus(c.Stdout, response, c.all)
+	return nil
+}
+
+// page writes lines that are wrapped at statusWidth.
+type page struct{ output io.Writer }
+
+// line writes text at the indentation and continues two columns further. A
+// word that is longer than a line is split.
+func (p page) line(indent int, format string, args ...any) {
+	current := strings.Repeat(" ", indent)
+	hanging := current + "  "
+	empty := true
+	for _, field := range strings.Fields(printable(fmt.Sprintf(format, args...))) {
+		word := []rune(field)
+		if !empty && utf8.RuneCountInString(current)+1+len(word) > statusWidth {
+			fmt.Fprintln(p.output, current)
+			current, empty = hanging, true
+		}
+		if !empty {
+			current += " "
+		}
+		for room := statusWidth - utf8.RuneCountInString(current); len(word) > room; room = statusWidth - len(hanging) {
+			fmt.Fprintln(p.output, current+string(word[:room]))
+			word = word[room:]
+			current = hanging
+		}
+		current += string(word)
+		empty = false
+	}
+	fmt.Fprintln(p.output, current)
+}
+
+// printable replaces control characters: names and notes of other operators
+// must not send escape sequences to the terminal.
+func printable(text string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsPrint(r) {
+			return r
+		}
+		return '?'
+	}, text)
+}
+
+func printStatus(output io.Writer, status *adminpb.StatusResponse, all bool) {
+	p := page{output}
+	findings := findingsOf(status)
+	if len(findings) == 0 {
+		p.line(0, "OK")
+	} else {
+		p.line(0, "ATTENTION: %d findings", len(findings))
+	}
+	for _, finding := range findings {
+		p.line(0, "! %s", finding)
+	}
+	p.release(status)
+	p.instances(status)
+	p.services(status, all)
+	p.inputs(status)
+}
+
+func (p page) release(status *adminpb.StatusResponse) {
+	if status.GetRelease() == 0 {
+		p.line(0, "release none")
+	} else {
+		p.line(0, "release %d %s", status.GetRelease(), shortHash(status.GetReleaseHash()))
+	}
+	view := "settled"
+	if !status.GetSettled() {
+		view = "not settled"
+	}
+	p.line(0, "seen from %s, view %s", status.GetDataCentre(), view)
+}
+
+func shortHash(hash string) string {
+	return hash[:min(len(hash), hashDigits)]
+}
+
+// findingsOf returns what needs an operator's attention, worst first.
+// docs/operations.md explains each of them.
+func findingsOf(status *adminpb.StatusResponse) []string {
+	var findings []string
+	add := func(format string, args ...any) { findings = append(findings, fmt.Sprintf(format, args...)) }
+	if count := status.GetInvariantViolations(); count > 0 {
+		add("%d invariant violations: report them", count)
+	}
+	if status.GetRelease() == 0 {
+		add("no release is in force")
+	}
+	for _, instance := range status.GetInstances() {
+		switch {
+		case instance.GetState() == "dead" || instance.GetState() == "suspect":
+			add("%s is %s", instance.GetName(), instance.GetState())
+		case instance.GetFenced():
+			add("%s is fenced", instance.GetName())
+		case instance.GetRelease() < status.GetRelease() && instance.GetState() == "serving":
+			add("%s has release %d", instance.GetName(), instance.GetRelease())
+		}
+	}
+	for _, service := range servicesOf(status) {
+		switch down := service.counts["down"]; {
+		case down == len(service.endpoints):
+			add("%s: all %d endpoints are down", service.name, down)
+		case down > 0:
+			add("%s: %d of %d endpoints are down", service.name, down, len(service.endpoints))
+		}
+	}
+	for _, input := range status.GetInputs() {
+		if !fresh(input) {
+			add("input %s is %s for %s", input.GetName(), input.GetState(), age(input.GetAgeMs()))
+		}
+	}
+	if !status.GetSettled() {
+		add("view not settled: new flows follow the hash only")
+	}
+	return findings
+}
+
+func fresh(input *adminpb.InputStatus) bool {
+	return input.GetState() == "ok" || input.GetState() == ""
+}
+
+// age returns a duration in at most six characters.
+func age(milliseconds uint64) string {
+	switch seconds := milliseconds / 1000; {
+	case milliseconds < 10_000:
+		return fmt.Sprintf("%d.%ds", seconds, milliseconds%1000/100)
+	case seconds < 120:
+		return fmt.Sprintf("%ds", seconds)
+	case seconds < 7_200:
+		return fmt.Sprintf("%dm", seconds/60)
+	default:
+		return fmt.Sprintf("%dh", seconds/3_600)
+	}
+}
+
+func (p page) instances(status *adminpb.StatusResponse) {
+	if len(status.GetInstances()) == 0 {
+		return
+	}
+	serving := 0
+	for _, instance := range status.GetInstances() {
+		if instance.GetState() == "serving" {
+			serving++
+		}
+	}
+	p.line(0, "INSTANCES %d of %d serving", serving, len(status.GetInstances()))
+	for _, instance := range status.GetInstances() {
+		mark := ""
+		if instance.GetSelf() {
+			mark = "*"
+		}
+		p.line(0, "%s%s %s r%d", instance.GetName(), mark, instance.GetState(), instance.GetRelease())
+		if instance.GetOpenFlows()+instance.GetExceptionsOwned()+instance.GetExceptionsHeld()+instance.GetControlBytesPerSecond() > 0 {
+			p.line(2, "%s flows, exceptions %s own %s held, %sB/s", short(instance.GetOpenFlows()),
+				short(instance.GetExceptionsOwned()), short(instance.GetExceptionsHeld()), short(instance.GetControlBytesPerSecond()))
+		}
+	}
+}
+
+// short returns a number in at most five characters.
+func short(number uint64) string {
+	switch {
+	case number < 10_000:
+		return fmt.Sprint(number)
+	case number < 10_000_000:
+		return fmt.Sprintf("%dk", number/1_000)
+	default:
+		return fmt.Sprintf("%dM", number/1_000_000)
+	}
+}
+
+type serviceLines struct {
+	name      string
+	endpoints []*adminpb.EndpointStatus
+	counts    map[string]int
+}
+
+func servicesOf(status *adminpb.StatusResponse) []*serviceLines {
+	byName := map[string]*serviceLines{}
+	var services []*serviceLines
+	for _, endpoint := range status.GetEndpoints() {
+		service, ok := byName[endpoint.GetService()]
+		if !ok {
+			service = &serviceLines{name: endpoint.GetService(), counts: map[string]int{}}
+			byName[service.name] = service
+			services = append(services, service)
+		}
+		service.endpoints = append(service.endpoints, endpoint)
+		service.counts[endpoint.GetState()]++
+	}
+	slices.SortFunc(services, func(a, b *serviceLines) int { return strings.Compare(a.name, b.name) })
+	return services
+}
+
+func (p page) services(status *adminpb.StatusResponse, all bool) {
+	services := servicesOf(status)
+	if len(services) > 0 {
+		p.line(0, "SERVICES %d", len(services))
+	}
+	for _, service := range services {
+		p.line(0, "%s %s", service.name, stateCounts(service))
+		for _, endpoint := range service.endpoints {
+			if all || endpoint.GetState() != "up" {
+				p.line(2, "%s %s", endpoint.GetName(), endpoint.GetState())
+				p.line(4, "load %d (%s old), %s flows", endpoint.GetLoad(), age(uint64(endpoint.GetLoadAgeMs())), short(uint64(endpoint.GetOpenFlows())))
+			}
+		}
+	}
+}
+
+func stateCounts(service *serviceLines) string {
+	var parts []string
+	for _, state := range []string{"up", "cold", "draining", "down"} {
+		if count := service.counts[state]; count > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", count, state))
+		}
+	}
+	return strings.Join(parts, ", ")
+}
+
+func (p page) inputs(status *adminpb.StatusResponse) {
+	if len(status.GetInputs()) > 0 {
+		p.line(0, "INPUTS")
+	}
+	for _, input := range status.GetInputs() {
+		p.line(0, "%s %s %s", input.GetName(), input.GetState(), age(input.GetAgeMs()))
+	}
+}
+
+func (c *command) history(ctx context.Context) error {
+	response, err := c.readHistory(ctx, uint32(min(c.limit, 1<<31)))
+	if err != nil {
+		return err
+	}
+	if c.output == "json" {
+		return c.printProto(response)
+	}
+	if len(response.GetReleases()) == 0 {
+		fmt.Fprintln(c.Stdout, "no release was accepted yet")
+		return nil
+	}
+	p := page{c.Stdout}
+	for _, release := range response.GetReleases() {
+		mark := ""
+		if release.GetInForce() {
+			mark = " IN FORCE"
+		}
+		p.line(0, "%d %s%s", release.GetNumber(), release.GetAuthor(), mark)
+		p.line(2, "%s", strings.TrimSpace(release.GetAcceptedAt()+" "+shortHash(release.GetHash())))
+		if release.GetNote() != "" {
+			p.line(2, "%s", release.GetNote())
+		}
+	}
+	return nil
+}
