--- /dev/null
+++ b/standins/endpoint/endpoint.go
@@ -0,0 +1,156 @@
+// Package endpoint stands in for a backend server. A user-space network stack
+// owns the service addresses, receives packets in Geneve and answers callers
+// directly through the fabric; an unmodified net/http server runs on it.
+package endpoint
+
+import (
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"burdockrelay.example/burdockrelay/standins/process"
+	"burdockrelay.example/burdockrelay/standins/tunnel"
+	"gopkg.in/tomb.v2"
+)
+
+// Settings of an endpoint.
+type Settings struct {
+	// Name is reported in the HeaderEndpoint of each response.
+	Name string
+	// Services are the addresses and ports that callers use.
+	Services []netip.AddrPort
+	// Tunnel is where the endpoint receives Geneve.
+	Tunnel netip.AddrPort
+	// Return is the fabric's address for packets to callers.
+	Return netip.AddrPort
+	// Health is the TCP address of /healthz and of the control interface.
+	Health string
+	// Slots is the number of requests served concurrently.
+	Slots int
+	// Queue is the number of requests that wait for a slot; further ones are
+	// refused without being run.
+	Queue int
+	// Status is the status at the start.
+	Status string
+}
+
+// Endpoint is one running stand-in.
+type Endpoint struct {
+	settings Settings
+	socket   *net.UDPConn
+	stack    *tunnel.Stack
+	requests *requests
+	health   *health
+	packets  packetCounters
+
+	// HealthAddress is the bound address of /healthz.
+	HealthAddress net.Addr
+}
+
+type packetCounters struct {
+	received, sent, sendErrors, malformed, withOptions, misdelivered atomic.Uint64
+}
+
+// Start opens the tunnel and the servers and serves until the tomb is dying.
+func Start(t *tomb.Tomb, settings Settings) (*Endpoint, error) {
+	e := &Endpoint{
+		settings: settings,
+		requests: newRequests(settings.Name, settings.Slots, settings.Queue),
+	}
+	e.health = newHealth(settings.Status, e.requests)
+	if err := e.openTunnel(t); err != nil {
+		return nil, err
+	}
+	if err := e.serve(t); err != nil {
+		return nil, err
+	}
+	var err error
+	e.HealthAddress, err = process.Listen(t, settings.Health, e.controlHandler())
+	return e, err
+}
+
+// TunnelAddress returns the bound address for Geneve.
+func (e *Endpoint) TunnelAddress() netip.AddrPort {
+	return tunnel.LocalAddress(e.socket)
+}
+
+func (e *Endpoint) openTunnel(t *tomb.Tomb) error {
+	var err error
+	if e.stack, err = tunnel.NewStack(e.addresses()...); err != nil {
+		return err
+	}
+	if e.socket, err = tunnel.Listen(t, e.settings.Tunnel); err != nil {
+		return err
+	}
+	t.Go(func() error { return tunnel.Receive(e.socket, e.receiver()) })
+	// The pump ends with the process, see tunnel.Stack.
+	go func() { _ = e.stack.Pump(e.sender()) }()
+	return nil
+}
+
+// addresses returns the distinct service addresses.
+func (e *Endpoint) addresses() []netip.Addr {
+	seen := make(map[netip.Addr]bool)
+	var addresses []netip.Addr
+	for _, service := range e.settings.Services {
+		if !seen[service.Addr()] {
+			seen[service.Addr()] = true
+			addresses = append(addresses, service.Addr())
+		}
+	}
+	return addresses
+}
+
+func (e *Endpoint) serve(t *tomb.Tomb) error {
+	for _, service := range e.settings.Services {
+		listener, err := e.stack.Listen(service)
+		if err != nil {
+			return err
+		}
+		process.Serve(t, listener, e.requests.handler())
+	}
+	return nil
+}
+
+// receiver passes packets for the service addresses to the stack.
+func (e *Endpoint) receiver() func([]byte, netip.AddrPort) {
+	decoder := new(tunnel.Decoder)
+	owned := make(map[netip.Addr]bool)
+	for _, address := range e.addresses() {
+		owned[address] = true
+	}
+	return func(datagram []byte, _ netip.AddrPort) {
+		e.packets.received.Add(1)
+		inner, err := decoder.Decode(datagram)
+		if err != nil {
+			e.packets.malformed.Add(1)
+			return
+		}
+		if inner.Options > 0 {
+			e.packets.withOptions.Add(1)
+		}
+		if !owned[inner.Destination] {
+			e.packets.misdelivered.Add(1)
+			return
+		}
+		if err := e.stack.Deliver(inner.Packet); err != nil {
+			e.packets.malformed.Add(1)
+		}
+	}
+}
+
+// sender sends the stack's packets to the fabric's return address.
+func (e *Endpoint) sender() func([]byte) {
+	encoder := tunnel.NewEncoder()
+	return func(packet []byte) {
+		datagram, err := encoder.Encode(packet)
+		if err == nil {
+			_, err = e.socket.WriteToUDPAddrPort(datagram, e.settings.Return)
+		}
+		if err != nil {
+			e.packets.sendErrors.Add(1)
+			return
+		}
+		e.packets.sent.Add(1)
+	}
+}
--- /dev/null
+++ b/standins/process/flags.go
@@ -0,0 +1,31 @@
+package process
+
+import (
+	"net/netip"
+	"strings"
+)
+
+// AddrPorts is a flag value: IP addresses with ports, separated by commas.
+type AddrPorts []netip.AddrPort
+
+// String implements flag.Value.
+func (a *AddrPorts) String() string {
+	texts := make([]string, len(*a))
+	for i, address := range *a {
+		texts[i] = address.String()
+	}
+	return strings.Join(texts, ",")
+}
+
+// Set implements flag.Value.
+func (a *AddrPorts) Set(text string) error {
+	*a = nil
+	for part := range strings.SplitSeq(text, ",") {
+		address, err := netip.ParseAddrPort(part)
+		if err != nil {
+			return err
+		}
+		*a = append(*a, address)
+	}
+	return nil
+}
--- /dev/null
+++ b/standins/tunnel/socket.go
@@ -0,0 +1,52 @@
+package tunnel
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+
+	"gopkg.in/tomb.v2"
+)
+
+// socketBuffer holds bursts while the receiver is descheduled. The kernel
+// lowers it to its own limit.
+const socketBuffer = 4 << 20
+
+// Listen opens a UDP socket for Geneve datagrams that is closed when the tomb
+// is dying.
+func Listen(t *tomb.Tomb, address netip.AddrPort) (*net.UDPConn, error) {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, err
+	}
+	if err := errors.Join(socket.SetReadBuffer(socketBuffer), socket.SetWriteBuffer(socketBuffer)); err != nil {
+		return nil, errors.Join(err, socket.Close())
+	}
+	t.Go(func() error {
+		<-t.Dying()
+		return socket.Close()
+	})
+	return socket, nil
+}
+
+// Receive calls handle with each datagram until the socket is closed. The
+// datagram is valid during the call.
+func Receive(socket *net.UDPConn, handle func(datagram []byte, from netip.AddrPort)) error {
+	buffer := make([]byte, MaxDatagram)
+	for {
+		n, from, err := socket.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		handle(buffer[:n], from)
+	}
+}
+
+// LocalAddress returns the bound address of the socket.
+func LocalAddress(socket *net.UDPConn) netip.AddrPort {
+	address := socket.LocalAddr().(*net.UDPAddr).AddrPort()
+	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
+}
