--- /dev/null
+++ b/standins/caller/caller.go
@@ -0,0 +1,218 @@
+// Package caller stands in for the callers of the services: many hosts with
+// user-space network stacks and unmodified net/http clients, which check every
+// response.
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"burdockrelay.example/burdockrelay/standins/process"
+	"burdockrelay.example/burdockrelay/standins/tunnel"
+	"gopkg.in/tomb.v2"
+)
+
+// Settings of a run.
+type Settings struct {
+	// Listen is the UDP address of all callers, Fabric the fabric's ingress.
+	Listen netip.AddrPort
+	Fabric netip.AddrPort
+	// Control is the TCP address of the control interface; empty for none.
+	Control string
+	// Prefix holds the callers' inner addresses.
+	Prefix  netip.Prefix
+	Callers int
+	Seed    uint64
+
+	// Drawings, Boards and Reports are service addresses; a zero address
+	// switches the kind of request off.
+	Drawings netip.AddrPort
+	Boards   netip.AddrPort
+	Reports  netip.AddrPort
+
+	// DownloadSize is the mean size in bytes, DownloadRate the speed in bytes
+	// per second; 0 is no limit.
+	DownloadSize int64
+	DownloadRate int64
+	// RequestsPerFlow is the number of lookups or reports on one flow; 0 is
+	// no limit.
+	RequestsPerFlow int
+	// Pause is the mean time between requests of one worker.
+	Pause time.Duration
+	// Duration ends new work; Grace is how long requests may then go on.
+	Duration time.Duration
+	Grace    time.Duration
+	// Stall is the time without progress after which a flow counts as broken.
+	Stall time.Duration
+
+	// Endpoints are the health addresses whose lists of reports are compared
+	// at the end.
+	Endpoints []netip.AddrPort
+}
+
+func (s *Settings) check() error {
+	if s.Callers < 1 || s.Callers > maxCallers {
+		return fmt.Errorf("number of callers is not between 1 and %d", maxCallers)
+	}
+	if !s.Prefix.Addr().Is4() || s.Prefix.Bits() > 32-10 {
+		return errors.New("prefix of the callers is not IPv4 or is longer than 22 bits")
+	}
+	if s.Duration <= 0 || s.Stall <= 0 || s.Pause <= 0 || s.DownloadSize <= 0 {
+		return errors.New("duration, stall, pause and download size must be positive")
+	}
+	return nil
+}
+
+// maxCallers bounds the memory: each caller has its own network stack.
+const maxCallers = 1000
+
+// Run is a set of callers.
+type Run struct {
+	settings Settings
+	socket   *net.UDPConn
+	stacks   map[netip.Addr]*tunnel.Stack
+	recorder *recorder
+	packets  packetCounters
+}
+
+type packetCounters struct {
+	received, sent, sendErrors, malformed, unknown atomic.Uint64
+}
+
+// New opens the tunnel socket and the callers' stacks.
+func New(t *tomb.Tomb, settings Settings) (*Run, error) {
+	if err := settings.check(); err != nil {
+		return nil, err
+	}
+	r := &Run{settings: settings, recorder: newRecorder(settings.Seed)}
+	var err error
+	if r.socket, err = tunnel.Listen(t, settings.Listen); err != nil {
+		return nil, err
+	}
+	if err := r.createStacks(); err != nil {
+		return nil, err
+	}
+	t.Go(func() error { return tunnel.Receive(r.socket, r.receiver()) })
+	for _, stack := range r.stacks {
+		// The pump ends with the process, see tunnel.Stack.
+		go func() { _ = stack.Pump(r.sender()) }()
+	}
+	return r, r.openControl(t)
+}
+
+func (r *Run) openControl(t *tomb.Tomb) error {
+	if r.settings.Control == "" {
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /control/summary", func(w http.ResponseWriter, _ *http.Request) {
+		process.WriteJSON(w, http.StatusOK, r.recorder.snapshot())
+	})
+	_, err := process.Listen(t, r.settings.Control, mux)
+	return err
+}
+
+func (r *Run) createStacks() error {
+	r.stacks = make(map[netip.Addr]*tunnel.Stack, r.settings.Callers)
+	address := r.settings.Prefix.Masked().Addr()
+	for range r.settings.Callers {
+		address = address.Next()
+		stack, err := tunnel.NewStack(address)
+		if err != nil {
+			return err
+		}
+		r.stacks[address] = stack
+	}
+	return nil
+}
+
+// receiver passes packets to the stack of the inner destination.
+func (r *Run) receiver() func([]byte, netip.AddrPort) {
+	decoder := new(tunnel.Decoder)
+	return func(datagram []byte, _ netip.AddrPort) {
+		r.packets.received.Add(1)
+		inner, err := decoder.Decode(datagram)
+		if err != nil {
+			r.packets.malformed.Add(1)
+			return
+		}
+		stack, ok := r.stacks[inner.Destination]
+		if !ok {
+			r.packets.unknown.Add(1)
+			return
+		}
+		if err := stack.Deliver(inner.Packet); err != nil {
+			r.packets.malformed.Add(1)
+		}
+	}
+}
+
+// sender sends a stack's packets to the fabric.
+func (r *Run) sender() func([]byte) {
+	encoder := tunnel.NewEncoder()
+	return func(packet []byte) {
+		datagram, err := encoder.Encode(packet)
+		if err == nil {
+			_, err = r.socket.WriteToUDPAddrPort(datagram, r.settings.Fabric)
+		}
+		if err != nil {
+			r.packets.sendErrors.Add(1)
+			return
+		}
+		r.packets.sent.Add(1)
+	}
+}
+
+// Do runs all callers to the end and returns the summary. The context ends the
+// run early.
+func (r *Run) Do(ctx context.Context) Summary {
+	whole, cancelWhole := context.WithTimeout(ctx, r.settings.Duration+r.settings.Grace)
+	defer cancelWhole()
+	newWork, cancelNewWork := context.WithTimeout(whole, r.settings.Duration)
+	defer cancelNewWork()
+	var workers sync.WaitGroup
+	address := r.settings.Prefix.Masked().Addr()
+	for index := range r.settings.Callers {
+		address = address.Next()
+		r.startWorkers(&workers, newWork, whole, index, r.stacks[address])
+	}
+	workers.Wait()
+	summary := r.recorder.snapshot()
+	if len(r.settings.Endpoints) > 0 {
+		summary.Verified = r.verify(ctx)
+	}
+	return summary
+}
+
+// startWorkers starts one worker of each kind for a caller.
+func (r *Run) startWorkers(workers *sync.WaitGroup, newWork, whole context.Context, index int, stack *tunnel.Stack) {
+	start := func(kind string, address netip.AddrPort, request func(*worker) func(context.Context, string)) {
+		if !address.IsValid() {
+			return
+		}
+		w := r.newWorker(kind, index, stack, address)
+		workers.Go(func() { w.repeat(newWork, whole, request(w)) })
+	}
+	start("drawing", r.settings.Drawings, func(w *worker) func(context.Context, string) { return w.download })
+	start("board", r.settings.Boards, func(w *worker) func(context.Context, string) { return w.lookup })
+	start("report", r.settings.Reports, func(w *worker) func(context.Context, string) { return w.report })
+}
+
+func (r *Run) newWorker(kind string, index int, stack *tunnel.Stack, address netip.AddrPort) *worker {
+	name := fmt.Sprintf("%s-s%d-c%d", kind, r.settings.Seed, index)
+	stream := uint64(index)<<8 | uint64(kind[0])
+	return &worker{
+		client:   newClient(stack, r.recorder, address.String(), address, r.settings.Stall),
+		settings: &r.settings,
+		name:     name,
+		random:   rand.New(rand.NewPCG(r.settings.Seed, stream)),
+	}
+}
--- /dev/null
+++ b/standins/caller/flow.go
@@ -0,0 +1,143 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+
+	"burdockrelay.example/burdockrelay/standins/tunnel"
+)
+
+// flow is one TCP connection of a caller. It records the first failure.
+type flow struct {
+	net.Conn
+	recorder *recorder
+	service  string
+
+	mutex    sync.Mutex
+	closed   bool
+	broken   bool
+	endpoint string
+}
+
+// dial opens a flow to the service.
+func dial(ctx context.Context, stack *tunnel.Stack, recorder *recorder, service string, address netip.AddrPort) (*flow, error) {
+	connection, err := stack.Dial(ctx, address)
+	if err != nil {
+		reason := dialReason(err)
+		recorder.record(func(s *Summary) { s.FlowsNotOpened[reason]++ })
+		return nil, err
+	}
+	recorder.record(func(s *Summary) {
+		s.FlowsOpened++
+		s.FlowsOpen++
+	})
+	return &flow{Conn: connection, recorder: recorder, service: service}, nil
+}
+
+// The network stack reports its errors as text only.
+const (
+	textRefused = "connection was refused"
+	textReset   = "connection reset by peer"
+	textTimeout = "operation timed out"
+)
+
+func dialReason(err error) string {
+	switch {
+	case strings.Contains(err.Error(), textRefused), strings.Contains(err.Error(), textReset):
+		return reasonRefused
+	case errors.Is(err, context.DeadlineExceeded), strings.Contains(err.Error(), textTimeout):
+		return reasonTimeout
+	default:
+		return reasonOther
+	}
+}
+
+func transferReason(err error) string {
+	switch {
+	case strings.Contains(err.Error(), textReset):
+		return reasonReset
+	case strings.Contains(err.Error(), textTimeout):
+		return reasonTimeout
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
+		return reasonTruncated
+	default:
+		return reasonOther
+	}
+}
+
+// Read implements net.Conn.
+func (f *flow) Read(b []byte) (int, error) {
+	n, err := f.Conn.Read(b)
+	f.observe(err)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (f *flow) Write(b []byte) (int, error) {
+	n, err := f.Conn.Write(b)
+	f.observe(err)
+	return n, err
+}
+
+// Close implements net.Conn.
+func (f *flow) Close() error {
+	f.mutex.Lock()
+	first := !f.closed
+	f.closed = true
+	f.mutex.Unlock()
+	if first {
+		f.recorder.record(func(s *Summary) { s.FlowsOpen-- })
+	}
+	return f.Conn.Close()
+}
+
+// observe notes a failure of the connection itself. The end of the stream is
+// judged by the reader of the response.
+func (f *flow) observe(err error) {
+	if err == nil || errors.Is(err, io.EOF) {
+		return
+	}
+	f.mutex.Lock()
+	closed := f.closed
+	f.mutex.Unlock()
+	// A connection that this side has closed fails its pending reads.
+	if !closed {
+		f.breakFor(transferReason(err))
+	}
+}
+
+// breakFor counts the flow as broken, once.
+func (f *flow) breakFor(reason string) {
+	f.mutex.Lock()
+	first := !f.broken
+	f.broken = true
+	f.mutex.Unlock()
+	if !first {
+		return
+	}
+	f.recorder.record(func(s *Summary) {
+		s.BrokenFlows++
+		s.BrokenFlowsByReason[reason]++
+	})
+}
+
+// answeredBy notes the endpoint of a response and reports whether it is the
+// one that answered before.
+func (f *flow) answeredBy(endpoint string) bool {
+	f.mutex.Lock()
+	previous := f.endpoint
+	if previous == "" {
+		f.endpoint = endpoint
+	}
+	f.mutex.Unlock()
+	if previous == "" {
+		f.recorder.flowOf(f.service, endpoint)
+		return true
+	}
+	return previous == endpoint
+}
--- /dev/null
+++ b/standins/caller/verify.go
@@ -0,0 +1,86 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+)
+
+const (
+	verifyTimeout = 5 * time.Second
+	maxReportList = 64 << 20
+)
+
+// verify compares the outcomes of the reports with the endpoints' lists.
+// Reports of other runs are left out.
+func (r *Run) verify(ctx context.Context) *Verification {
+	result := new(Verification)
+	runs := make(map[string]int)
+	for _, address := range r.settings.Endpoints {
+		reports, err := readReports(ctx, address)
+		if err != nil {
+			result.EndpointsUnread++
+			continue
+		}
+		result.EndpointsRead++
+		for id, count := range reports {
+			runs[id] += count
+		}
+	}
+	r.recorder.mutex.Lock()
+	defer r.recorder.mutex.Unlock()
+	r.compareOutcomes(result, runs)
+	return result
+}
+
+func (r *Run) compareOutcomes(result *Verification, runs map[string]int) {
+	for id, count := range runs {
+		if !strings.HasPrefix(id, fmt.Sprintf("report-s%d-", r.settings.Seed)) {
+			continue
+		}
+		if count > 1 {
+			result.ReportsRunTwice++
+		}
+		if _, started := r.recorder.outcomes[id]; !started {
+			result.RunButNeverStarted++
+		}
+	}
+	for id, reported := range r.recorder.outcomes {
+		ran := runs[id] > 0
+		switch {
+		case reported == outcomeOK && !ran:
+			result.AnsweredButNotRun++
+		case reported == outcomeRefused && ran:
+			result.RefusedButRun++
+		case reported == outcomeUnknown && ran:
+			result.UnknownThatRan++
+		case reported == outcomeUnknown:
+			result.UnknownThatRanNot++
+		}
+	}
+}
+
+func readReports(ctx context.Context, address netip.AddrPort) (map[string]int, error) {
+	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/control/reports", address), nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("list of reports: status %d", response.StatusCode)
+	}
+	var reports map[string]int
+	err = json.NewDecoder(io.LimitReader(response.Body, maxReportList)).Decode(&reports)
+	return reports, err
+}
--- a/standins/endpoint/endpoint.go
+++ b/standins/endpoint/endpoint.go
@@ -4,6 +4,7 @@
 package endpoint
 
 import (
+	"fmt"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -53,6 +54,9 @@
 
 // Start opens the tunnel and the servers and serves until the tomb is dying.
 func Start(t *tomb.Tomb, settings Settings) (*Endpoint, error) {
+	if !knownStatus(settings.Status) || settings.Slots < 1 || settings.Queue < 0 {
+		return nil, fmt.Errorf("status %q, slots %d or queue %d is not valid", settings.Status, settings.Slots, settings.Queue)
+	}
 	e := &Endpoint{
 		settings: settings,
 		requests: newRequests(settings.Name, settings.Slots, settings.Queue),
@@ -115,9 +119,9 @@
 // receiver passes packets for the service addresses to the stack.
 func (e *Endpoint) receiver() func([]byte, netip.AddrPort) {
 	decoder := new(tunnel.Decoder)
-	owned := make(map[netip.Addr]bool)
-	for _, address := range e.addresses() {
-		owned[address] = true
+	owned := make(map[netip.AddrPort]bool)
+	for _, service := range e.settings.Services {
+		owned[service] = true
 	}
 	return func(datagram []byte, _ netip.AddrPort) {
 		e.packets.received.Add(1)
@@ -129,7 +133,7 @@
 		if inner.Options > 0 {
 			e.packets.withOptions.Add(1)
 		}
-		if !owned[inner.Destination] {
+		if !owned[inner.DestinationPort()] {
 			e.packets.misdelivered.Add(1)
 			return
 		}
--- a/standins/endpoint/health.go
+++ b/standins/endpoint/health.go
@@ -140,7 +140,8 @@
 	// WithOptions counts packets with Geneve options; an operating system may
 	// drop those.
 	WithOptions uint64 `json:"with_options"`
-	// Misdelivered counts packets for an address that is not the endpoint's.
+	// Misdelivered counts packets for an address and port that the
+	// endpoint does not serve.
 	Misdelivered uint64          `json:"misdelivered"`
 	Probes       uint64          `json:"probes"`
 	Load         int             `json:"load"`
--- /dev/null
+++ b/standins/endtoend_test.go
@@ -0,0 +1,188 @@
+package standins_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"burdockrelay.example/burdockrelay/standins/caller"
+	"burdockrelay.example/burdockrelay/standins/endpoint"
+	"burdockrelay.example/burdockrelay/standins/fabric"
+	"gopkg.in/tomb.v2"
+)
+
+const anyLoopback = "127.0.0.1:0"
+
+var service = netip.MustParseAddrPort("10.90.0.1:80")
+
+// path is a fabric that sends straight to one endpoint.
+type path struct {
+	tomb     *tomb.Tomb
+	fabric   *fabric.Fabric
+	endpoint *endpoint.Endpoint
+}
+
+// startPath starts the fabric and the endpoint on free ports.
+func startPath(t *testing.T, seed uint64) *path {
+	t.Helper()
+	p := &path{tomb: new(tomb.Tomb)}
+	ready := make(chan error, 1)
+	p.tomb.Go(func() error {
+		ready <- p.start(seed)
+		<-p.tomb.Dying()
+		return nil
+	})
+	t.Cleanup(func() {
+		p.tomb.Kill(nil)
+		if err := p.tomb.Wait(); err != nil {
+			t.Errorf("stand-ins: %v", err)
+		}
+	})
+	if err := <-ready; err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func (p *path) start(seed uint64) error {
+	var err error
+	p.fabric, err = fabric.Start(p.tomb, fabric.Settings{
+		Ingress: netip.MustParseAddrPort(anyLoopback),
+		Return:  netip.MustParseAddrPort(anyLoopback),
+		Control: anyLoopback,
+		Seed:    seed,
+	})
+	if err != nil {
+		return err
+	}
+	p.endpoint, err = endpoint.Start(p.tomb, endpoint.Settings{
+		Name:     "endpoint-1",
+		Services: []netip.AddrPort{service},
+		Tunnel:   netip.MustParseAddrPort(anyLoopback),
+		Return:   p.fabric.ReturnAddress(),
+		Health:   anyLoopback,
+		Slots:    32,
+		Queue:    64,
+		Status:   endpoint.StatusUp,
+	})
+	if err != nil {
+		return err
+	}
+	return control(http.MethodPut, fmt.Sprintf("http://%s/control/entries/%s", p.fabric.ControlAddress, p.endpoint.TunnelAddress()), "", nil)
+}
+
+// control calls a control interface and decodes the response into answer.
+func control(method, url, body string, answer any) error {
+	request, err := http.NewRequestWithContext(context.Background(), method, url, bytes.NewBufferString(body))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("%s %s: status %d: %s", method, url, response.StatusCode, data)
+	}
+	if answer == nil {
+		return nil
+	}
+	return json.Unmarshal(data, answer)
+}
+
+func (p *path) run(t *testing.T, change func(*caller.Settings)) caller.Summary {
+	t.Helper()
+	settings := caller.Settings{
+		Listen:          netip.MustParseAddrPort(anyLoopback),
+		Fabric:          p.fabric.IngressAddress(),
+		Prefix:          netip.MustParsePrefix("10.200.0.0/16"),
+		Callers:         4,
+		Seed:            1,
+		Drawings:        service,
+		Boards:          service,
+		Reports:         service,
+		DownloadSize:    300_000,
+		RequestsPerFlow: 5,
+		Pause:           20 * time.Millisecond,
+		Duration:        2 * time.Second,
+		Grace:           10 * time.Second,
+		Stall:           5 * time.Second,
+		Endpoints:       []netip.AddrPort{netip.MustParseAddrPort(p.endpoint.HealthAddress.String())},
+	}
+	change(&settings)
+	run, err := caller.New(p.tomb, settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return run.Do(t.Context())
+}
+
+func requireSound(t *testing.T, summary caller.Summary) {
+	t.Helper()
+	text, err := json.Marshal(summary)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("summary: %s", text)
+	if summary.DownloadsComplete == 0 || summary.BoardsOK == 0 || summary.ReportsOK == 0 {
+		t.Error("some kind of request never succeeded")
+	}
+	if summary.BrokenFlows != 0 || summary.WrongAnswers != 0 || summary.CrossedAnswers != 0 {
+		t.Error("there were broken flows, wrong or crossed answers")
+	}
+	if summary.ReportsUnknown != 0 || summary.ReportsDoubleRun != 0 {
+		t.Error("there were unknown or repeated reports")
+	}
+	if v := summary.Verified; v == nil || v.EndpointsRead != 1 || v.ReportsRunTwice != 0 || v.RefusedButRun != 0 || v.AnsweredButNotRun != 0 || v.RunButNeverStarted != 0 {
+		t.Errorf("the endpoint's list of reports differs: %+v", v)
+	}
+}
+
+// TestPath guards against a loss of bytes or requests in the stand-ins
+// themselves, which would hide or imitate faults of the load balancer.
+func TestPath(t *testing.T) {
+	p := startPath(t, 1)
+	summary := p.run(t, func(*caller.Settings) {})
+	requireSound(t, summary)
+	if summary.FlowsOpen != 0 {
+		t.Errorf("%d flows are open after the run", summary.FlowsOpen)
+	}
+}
+
+// TestPathWithImpairments guards against impairments that break flows, which
+// TCP must survive.
+func TestPathWithImpairments(t *testing.T) {
+	p := startPath(t, 2)
+	var set map[string]fabric.Impairments
+	one := `{"delay_ms": 1, "loss_percent": 1, "duplicate_percent": 2, "reorder_percent": 5, "reorder_ms": 3}`
+	err := control(http.MethodPatch, fmt.Sprintf("http://%s/control/impairments", p.fabric.ControlAddress),
+		fmt.Sprintf(`{"to_entries": %s, "to_callers": %s}`, one, one), &set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	requireSound(t, p.run(t, func(*caller.Settings) {}))
+	var counters struct {
+		ToEntriesLink fabric.LinkCounters `json:"to_entries_link"`
+		ToCallersLink fabric.LinkCounters `json:"to_callers_link"`
+	}
+	err = control(http.MethodGet, fmt.Sprintf("http://%s/control/counters", p.fabric.ControlAddress), "", &counters)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, link := range []fabric.LinkCounters{counters.ToEntriesLink, counters.ToCallersLink} {
+		if link.Lost == 0 || link.Duplicated == 0 || link.Reordered == 0 || link.Overflowed != 0 {
+			t.Errorf("impairments had no effect: %+v", link)
+		}
+	}
+}
--- a/standins/tunnel/geneve.go
+++ b/standins/tunnel/geneve.go
@@ -4,6 +4,7 @@
 package tunnel
 
 import (
+	"encoding/binary"
 	"errors"
 	"net/netip"
 
@@ -58,6 +59,16 @@
 	Options int
 }
 
+// DestinationPort returns the destination address with the TCP or UDP port,
+// which is 0 when the packet is too short.
+func (i Inner) DestinationPort() netip.AddrPort {
+	offset := int(i.Packet[0]&0x0f)*4 + 2
+	if len(i.Packet) < offset+2 {
+		return netip.AddrPortFrom(i.Destination, 0)
+	}
+	return netip.AddrPortFrom(i.Destination, binary.BigEndian.Uint16(i.Packet[offset:]))
+}
+
 // Decoder removes Geneve headers. It is not safe for concurrent use.
 type Decoder struct {
 	geneve layers.Geneve
