--- a/standins/caller/client.go
+++ b/standins/caller/client.go
@@ -70,33 +70,33 @@
 	id       string
 	flow     atomic.Pointer[flow]
 	watchdog *time.Timer
-	cancel   context.CancelCauseFunc
 	cause    func() error
 	response *http.Response
 }
 
-// send sends a request and returns when the response header has arrived. The
-// caller must end the exchange.
-func (c *client) send(ctx context.Context, method, path, id string, body io.Reader) (*exchange, error) {
+// do sends a request and calls handle when the response header has arrived.
+// The flow is kept when handle reads the whole body.
+func (c *client) do(ctx context.Context, method, path, id string, body io.Reader, handle func(*exchange)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
-	x := &exchange{client: c, id: id, cancel: cancel}
-	x.cause = func() error { return context.Cause(ctx) }
+	defer cancel(nil)
+	x := &exchange{client: c, id: id, cause: func() error { return context.Cause(ctx) }}
 	// A dial has its own limit.
 	x.watchdog = time.AfterFunc(dialTimeout+c.stall, func() { cancel(errStalled) })
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: x.gotConnection})
-	request, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s%s", c.address, path), body)
+	defer x.watchdog.Stop()
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: x.gotConnection})
+	request, err := http.NewRequestWithContext(traced, method, fmt.Sprintf("http://%s%s", c.address, path), body)
 	if err != nil {
-		x.end()
-		return nil, err
+		return err
 	}
-	x.response, err = c.http.Do(request)
+	response, err := c.http.Do(request)
 	if err != nil {
-		err = x.fail(err)
-		x.end()
-		return nil, err
+		return x.fail(err)
 	}
+	defer response.Body.Close()
+	x.response = response
 	x.check()
-	return x, nil
+	handle(x)
+	return nil
 }
 
 func (x *exchange) gotConnection(info httptrace.GotConnInfo) {
@@ -156,13 +156,3 @@
 	}
 	return n, err
 }
-
-// end releases the exchange. The flow is kept when the body was read whole.
-func (x *exchange) end() {
-	x.watchdog.Stop()
-	if x.response != nil {
-		// A failure to close has no effect on a response that was read.
-		_ = x.response.Body.Close()
-	}
-	x.cancel(nil)
-}
--- a/standins/caller/work.go
+++ b/standins/caller/work.go
@@ -80,11 +80,15 @@
 	if w.settings.DownloadRate > 0 {
 		path += fmt.Sprintf("&rate=%d", w.settings.DownloadRate)
 	}
-	x, err := w.send(ctx, http.MethodGet, path, id, nil)
-	if err != nil {
-		return false
-	}
-	defer x.end()
+	complete := false
+	// The error has been counted with the flow.
+	_ = w.do(ctx, http.MethodGet, path, id, nil, func(x *exchange) {
+		complete = w.checkDrawing(x, content.Reader(id, size))
+	})
+	return complete
+}
+
+func (w *worker) checkDrawing(x *exchange, wanted io.Reader) bool {
 	if x.refused() {
 		return false
 	}
@@ -92,7 +96,7 @@
 		w.wrong(x)
 		return false
 	}
-	return w.compare(x, content.Reader(id, size))
+	return w.compare(x, wanted)
 }
 
 // compare reads the whole body and compares it with the wanted bytes.
@@ -167,14 +171,17 @@
 // fetch sends a request and decodes a JSON response. A flow that could not be
 // opened and a refusal both mean that the request was not run.
 func (w *worker) fetch(ctx context.Context, method, path, id string, body io.Reader, answer any) outcome {
-	x, err := w.send(ctx, method, path, id, body)
+	result := outcomeUnknown
+	err := w.do(ctx, method, path, id, body, func(x *exchange) {
+		result = w.decode(x, answer)
+	})
 	if errors.Is(err, errNotOpened) {
 		return outcomeRefused
 	}
-	if err != nil {
-		return outcomeUnknown
-	}
-	defer x.end()
+	return result
+}
+
+func (w *worker) decode(x *exchange, answer any) outcome {
 	data, err := io.ReadAll(io.LimitReader(x, maxAnswer))
 	if x.refused() {
 		return outcomeRefused
--- a/standins/cmd/standin-caller/main.go
+++ b/standins/cmd/standin-caller/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"flag"
 	"net/netip"
@@ -22,7 +23,7 @@
 			return err
 		}
 		logger.Info("started", zap.Int("callers", settings.Callers), zap.Uint64("seed", settings.Seed))
-		summary := run.Do(t.Context(nil))
+		summary := run.Do(t.Context(context.Background()))
 		t.Kill(nil)
 		logger.Info("ended",
 			zap.Int("flows_opened", summary.FlowsOpened),
--- a/standins/cmd/standin-platform/main.go
+++ b/standins/cmd/standin-platform/main.go
@@ -1,4 +1,31 @@
-// Command standin-platform is not complete yet.
+// Command standin-platform stands in for the platform's object API and
+// instance list in tests and in the demo.
 package main
 
-func main() {}
+import (
+	"flag"
+	"time"
+
+	"burdockrelay.example/burdockrelay/standins/platform"
+	"burdockrelay.example/burdockrelay/standins/process"
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+)
+
+func main() {
+	var settings platform.Settings
+	flag.StringVar(&settings.Listen, "listen", "127.0.0.1:9000", "TCP address of the API and the control interface")
+	flag.IntVar(&settings.History, "history", 1000, "events kept for each collection")
+	flag.DurationVar(&settings.Bookmark, "bookmark", 5*time.Second, "time between bookmarks on a watch")
+	flag.DurationVar(&settings.MaxWatch, "max-watch", 5*time.Minute, "longest time of a watch")
+	flag.Parse()
+
+	process.Main("standin-platform", func(t *tomb.Tomb, logger *zap.Logger) error {
+		started, err := platform.Start(t, settings)
+		if err != nil {
+			return err
+		}
+		logger.Info("started", zap.Stringer("listen", started.Address))
+		return nil
+	})
+}
--- a/standins/endpoint/requests.go
+++ b/standins/endpoint/requests.go
@@ -204,23 +204,20 @@
 	limiter := rate.NewLimiter(limit, piece)
 	buffer := make([]byte, piece)
 	controller := http.NewResponseController(w)
-	for {
-		n, readErr := io.ReadFull(from, buffer)
-		if n > 0 {
-			if err := limiter.WaitN(ctx, n); err != nil {
-				return err
-			}
-			if _, err := w.Write(buffer[:n]); err != nil {
-				return err
-			}
-			if err := controller.Flush(); err != nil {
-				return err
-			}
+	for whole := true; whole; {
+		n, _ := io.ReadFull(from, buffer)
+		whole = n == len(buffer)
+		if err := limiter.WaitN(ctx, n); err != nil {
+			return err
 		}
-		if readErr != nil {
-			return nil
+		if _, err := w.Write(buffer[:n]); err != nil {
+			return err
+		}
+		if err := controller.Flush(); err != nil {
+			return err
 		}
 	}
+	return nil
 }
 
 // Board is the order board of one endpoint.
