Add packet decisions: ownership, default tables, lease, flow handling

Cause: the packet path needs its decisions before it can be built. Works: hash selection, ownership and relay, first and mid-flow packets, refusal when the table is full. Replication, bases, expiry, limits and the other load policies have their signatures only. Ruled out: a Go map of flows, because its size is not bounded and it scans pointers; entries are one slab with chained hash classes. Action carries the hop count that a relayed packet gets, because the hand-over of slots will need a second hop.

--- /dev/null
+++ b/internal/decision/flow/handle_test.go
@@ -0,0 +1,118 @@
+package flow
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+)
+
+var serviceAddress = common.ServiceAddress{
+	Address: netip.MustParseAddr("10.9.0.1"), Port: 443, Protocol: common.ProtocolTCP,
+}
+
+// testSnapshot has one service with the given endpoints and serving members.
+func testSnapshot(endpoints, members int) *common.Snapshot {
+	s := &common.Snapshot{Release: 1, Self: 1, Settled: true, Epoch: 1, Sequence: 1}
+	service := common.Service{ID: 7, Name: "crew-desk", Address: serviceAddress}
+	service.Policy.IdleTimeout = 5 * time.Minute
+	for i := 1; i <= endpoints; i++ {
+		service.Endpoints = append(service.Endpoints, common.Endpoint{
+			ID:     common.EndpointID(i),
+			Tunnel: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 6081),
+			Weight: 1,
+		})
+	}
+	s.Services = []common.Service{service}
+	for i := 1; i <= members; i++ {
+		s.Members = append(s.Members, common.Member{
+			ID: common.InstanceID(i), Incarnation: 1, State: common.MemberServing,
+			EntryAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, 0, byte(i)}), 6081),
+		})
+	}
+	return s
+}
+
+func mustTables(t testing.TB, s *common.Snapshot, previous *Tables) *Tables {
+	t.Helper()
+	tables, err := NewTables(s, previous)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tables
+}
+
+func tcpPacket(tables *Tables, source uint32, first bool, sequence uint32) *Packet {
+	p := &Packet{First: first, Sequence: sequence, Service: tables.Match(serviceAddress)}
+	p.Tuple = common.FiveTuple{
+		Source:      [4]byte{192, 0, byte(source >> 8), byte(source)},
+		Destination: serviceAddress.Address.As4(),
+		SourcePort:  uint16(20000 + source>>16), DestinationPort: serviceAddress.Port,
+		Protocol: common.ProtocolTCP,
+	}
+	p.Hash = p.Tuple.Hash()
+	return p
+}
+
+// Guards against packets of one flow that reach different endpoints.
+func TestFlowKeepsEndpoint(t *testing.T) {
+	tables := mustTables(t, testSnapshot(4, 1), nil)
+	shard := NewShard(0, Limits{MaxFlows: 100})
+	for source := range uint32(50) {
+		first := shard.Handle(tables, tcpPacket(tables, source, true, 9), 0, true)
+		if first.Kind != Forward {
+			t.Fatalf("first packet: %+v", first)
+		}
+		for range 3 {
+			next := shard.Handle(tables, tcpPacket(tables, source, false, 10), time.Second, true)
+			if next != first {
+				t.Fatalf("flow moved from %+v to %+v", first, next)
+			}
+		}
+	}
+}
+
+// Guards against refusals that hit established flows when the table is full.
+func TestFullTableRefusesNewFlowsOnly(t *testing.T) {
+	tables := mustTables(t, testSnapshot(4, 1), nil)
+	shard := NewShard(0, Limits{MaxFlows: 1})
+	kept := shard.Handle(tables, tcpPacket(tables, 1, true, 9), 0, true)
+	refused := shard.Handle(tables, tcpPacket(tables, 2, true, 9), 0, true)
+	if refused.Kind != Refuse || refused.Code != resultcode.RefusedTableFull {
+		t.Fatalf("second flow: %+v", refused)
+	}
+	if again := shard.Handle(tables, tcpPacket(tables, 1, false, 10), 0, true); again != kept {
+		t.Fatalf("established flow: %+v", again)
+	}
+}
+
+// Guards against an instance that decides for slots of others, against relay
+// loops and against decisions without a lease.
+func TestRoute(t *testing.T) {
+	tables := mustTables(t, testSnapshot(4, 3), nil)
+	shard := NewShard(0, Limits{MaxFlows: 1000})
+	for source := range uint32(200) {
+		p := tcpPacket(tables, source, true, 9)
+		owner, _ := tables.Owners().Owner(p.Hash.Slot())
+		action := shard.Handle(tables, p, 0, true)
+		if (owner == 1) != (action.Kind == Forward) {
+			t.Fatalf("owner %d: %+v", owner, action)
+		}
+		if action.Kind == Relay && action.HopCount != 1 {
+			t.Fatalf("relayed with hop count %d", action.HopCount)
+		}
+		fenced := shard.Handle(tables, p, 0, false)
+		if fenced.Kind != Relay || fenced.Code != resultcode.RouteFenced {
+			t.Fatalf("fenced: %+v", fenced)
+		}
+		p.HopCount = 1
+		if relayed := shard.Handle(tables, p, 0, true); relayed.Kind != Forward {
+			t.Fatalf("relayed packet: %+v", relayed)
+		}
+		if late := shard.Handle(tables, p, 0, false); late.Kind != Drop {
+			t.Fatalf("relayed packet at a fenced instance: %+v", late)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decision/lookup/lookup.go
@@ -0,0 +1,169 @@
+// Package lookup computes the default endpoint of each bucket of a service by
+// weighted rendezvous hashing. The result depends only on the set of eligible
+// endpoints and their weights, so any instance can recompute it.
+package lookup
+
+import (
+	"math"
+	"slices"
+
+	"burdockrelay.example/burdockrelay/common"
+)
+
+// Table is the immutable default table of one set of eligible endpoints.
+type Table struct {
+	service  common.ServiceID
+	id       uint32
+	uniform  bool
+	eligible []common.EndpointID
+	weights  []uint32
+	defaults [common.Buckets]common.EndpointID
+}
+
+// Build returns the default table of a set of endpoints. The order of the
+// endpoints does not matter. Endpoints without a weight, or with weight 0,
+// count with weight 1.
+func Build(service common.ServiceID, eligible []common.EndpointID, weights []uint32) *Table {
+	t := &Table{service: service, uniform: true}
+	t.sortSet(eligible, weights)
+	t.id = t.hashSet()
+	for bucket := range t.defaults {
+		t.defaults[bucket] = t.best(uint8(bucket))
+	}
+	return t
+}
+
+// Default returns the default endpoint of a bucket, or 0 when the set is empty.
+func (t *Table) Default(bucket uint8) common.EndpointID {
+	return t.defaults[bucket]
+}
+
+// ID returns the hash of the set of endpoints and weights.
+func (t *Table) ID() uint32 {
+	return t.id
+}
+
+// Base returns the set that the table is computed from. The caller must not
+// change the slices.
+func (t *Table) Base() common.ServiceBase {
+	return common.ServiceBase{Service: t.service, Eligible: t.eligible, Weights: t.weights}
+}
+
+// Same reports whether both tables have the same set and weights.
+func (t *Table) Same(other *Table) bool {
+	if t == other {
+		return true
+	}
+	return t.id == other.id && slices.Equal(t.eligible, other.eligible) && slices.Equal(t.weights, other.weights)
+}
+
+// Covers reports whether Build would return an equal table for the set.
+func (t *Table) Covers(eligible []common.EndpointID, weights []uint32) bool {
+	var set Table
+	set.sortSet(eligible, weights)
+	return slices.Equal(t.eligible, set.eligible) && slices.Equal(t.weights, set.weights)
+}
+
+// Contains reports whether the endpoint is in the set.
+func (t *Table) Contains(endpoint common.EndpointID) bool {
+	_, found := slices.BinarySearch(t.eligible, endpoint)
+	return found
+}
+
+// Candidates appends the first n endpoints in rendezvous order for the flow's
+// bucket to out and returns it. The first one is the default.
+func (t *Table) Candidates(hash common.FlowHash, n int, out []common.EndpointID) []common.EndpointID {
+	start := len(out)
+	bucket := hash.Bucket()
+	for len(out)-start < n {
+		chosen := out[start:]
+		next, found := t.bestExcept(bucket, chosen)
+		if !found {
+			return out
+		}
+		out = append(out, next)
+	}
+	return out
+}
+
+func (t *Table) sortSet(eligible []common.EndpointID, weights []uint32) {
+	order := make([]int, 0, len(eligible))
+	for i, endpoint := range eligible {
+		if endpoint != 0 {
+			order = append(order, i)
+		}
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		return int(int64(eligible[a]) - int64(eligible[b]))
+	})
+	t.eligible = make([]common.EndpointID, 0, len(order))
+	t.weights = make([]uint32, 0, len(order))
+	for _, i := range order {
+		if n := len(t.eligible); n > 0 && t.eligible[n-1] == eligible[i] {
+			continue
+		}
+		weight := uint32(1)
+		if i < len(weights) && weights[i] > 0 {
+			weight = weights[i]
+		}
+		t.eligible = append(t.eligible, eligible[i])
+		t.weights = append(t.weights, weight)
+		t.uniform = t.uniform && weight == t.weights[0]
+	}
+}
+
+func (t *Table) hashSet() uint32 {
+	h := mix(uint64(t.service))
+	for i, endpoint := range t.eligible {
+		h = mix(h ^ uint64(endpoint)<<32 ^ uint64(t.weights[i]))
+	}
+	return uint32(h >> 32)
+}
+
+func (t *Table) best(bucket uint8) common.EndpointID {
+	endpoint, _ := t.bestExcept(bucket, nil)
+	return endpoint
+}
+
+// bestExcept returns the endpoint with the highest score that is not excluded.
+// With equal weights the order of the hashes is the order of the scores, which
+// saves the logarithm.
+func (t *Table) bestExcept(bucket uint8, excluded []common.EndpointID) (common.EndpointID, bool) {
+	seed := mix(uint64(t.service)<<8 | uint64(bucket))
+	best := common.EndpointID(0)
+	bestHash := uint64(0)
+	bestScore := math.Inf(-1)
+	found := false
+	for i, endpoint := range t.eligible {
+		if slices.Contains(excluded, endpoint) {
+			continue
+		}
+		hash := mix(seed ^ uint64(endpoint)*0x9e3779b97f4a7c15)
+		if t.uniform {
+			if !found || hash > bestHash {
+				best, bestHash, found = endpoint, hash, true
+			}
+			continue
+		}
+		score := weightedScore(hash, t.weights[i])
+		if !found || score > bestScore {
+			best, bestScore, found = endpoint, score, true
+		}
+	}
+	return best, found
+}
+
+// weightedScore returns ln(u)/weight with u uniform in (0, 1], so an endpoint
+// wins a bucket with a probability proportional to its weight.
+func weightedScore(hash uint64, weight uint32) float64 {
+	u := (float64(hash>>11) + 1) / (1 << 53)
+	return math.Log(u) / float64(weight)
+}
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
