Add replication, hand-over, load policies and expiry to the flow decisions

Cause: a takeover needs the exceptions and bases of the former owner. The new owner of a slot sends unknown flows to the living former owner for a few seconds (a second hop). First packets never carry data. Not measured and not property-tested yet.

--- /dev/null
+++ b/internal/decision/flow/batch.go
@@ -0,0 +1,282 @@
+package flow
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/decision/lookup"
+)
+
+// builder collects one batch for one target.
+type builder struct {
+	shard  *Shard
+	tables *Tables
+	id     common.InstanceID
+	target *target
+	sent   *sentBatch
+	room   int
+	groups exceptionGroups
+	// complete is false when withdrawals are left for the next batch. Flows
+	// then wait: a withdrawal must not follow a newer report of the same hash.
+	complete bool
+	// waiting holds the bases that cannot change yet because a flow that the
+	// target resolves with the present one is not acknowledged.
+	waiting map[slotService]bool
+}
+
+// anySlot marks the base of a service in all slots without their own.
+const anySlot = common.Slots
+
+func newBuilder(s *Shard, t *Tables, id common.InstanceID, g *target, budget *Budget) *builder {
+	limit := budget.MaxBatchBytes
+	if limit == 0 {
+		limit = defaultBatchBytes
+	}
+	return &builder{
+		shard: s, tables: t, id: id, target: g,
+		sent: &sentBatch{
+			bases:     make(map[common.ServiceID]*lookup.Table),
+			slotBases: make(map[slotService]*lookup.Table),
+		},
+		room:     min(limit, budget.Bytes) - batchBytes,
+		complete: true,
+		waiting:  make(map[slotService]bool),
+	}
+}
+
+// use takes room for the bytes and reports whether there was enough.
+func (b *builder) use(bytes int) bool {
+	if b.room < bytes {
+		return false
+	}
+	b.room -= bytes
+	b.sent.bytes += bytes
+	return true
+}
+
+func (b *builder) empty() bool {
+	return len(b.groups.list) == 0 && len(b.sent.bases) == 0 && len(b.sent.slotBases) == 0
+}
+
+// addResets tells the target to forget what it holds of slots that are newly
+// reported to it. The group names no endpoint; its hashes are a bit set.
+func (b *builder) addResets() {
+	resets := &b.target.resets
+	if resets.empty() {
+		return
+	}
+	if !b.use(groupBytes + hashBytes*len(resets)) {
+		b.complete = false
+		return
+	}
+	group := common.ExceptionGroup{Withdrawn: true}
+	for _, word := range resets {
+		group.Hashes = append(group.Hashes, common.FlowHash(word))
+	}
+	b.groups.list = append(b.groups.list, group)
+	*resets = slotSet{}
+}
+
+func (b *builder) addWithdrawals() {
+	if !b.complete {
+		return
+	}
+	n := 0
+	for _, w := range b.target.withdrawals {
+		if !b.use(b.groups.cost(w.service, w.endpoint, true)) {
+			b.complete = false
+			break
+		}
+		b.groups.addTo(w.service, w.endpoint, w.hash, true)
+		n++
+	}
+	b.target.withdrawals = slices.Delete(b.target.withdrawals, 0, n)
+}
+
+func (b *builder) addFlows(now time.Duration) {
+	for _, item := range b.shard.queue {
+		e := b.shard.table.at(item.position, item.hash)
+		state := b.shard.slot(item.hash)
+		if e == nil || state.target != b.id || !b.shard.needsReport(b.tables, e) {
+			continue
+		}
+		b.wait(e)
+		lost := state.owner != b.tables.self && !b.shard.limits.ablation.noForeignRule
+		if !b.complete || e.has(flagSending) || (!lost && now-e.opened < leastAge) {
+			continue
+		}
+		if !b.use(b.groups.cost(e.service, e.endpoint, false)) {
+			continue
+		}
+		b.groups.add(e.service, e.endpoint, e.hash)
+		b.sent.flows = append(b.sent.flows, sentFlow{item.position, item.hash, e.endpoint})
+		e.flags |= flagSending
+	}
+}
+
+// wait keeps the base with which the target resolves this flow.
+func (b *builder) wait(e *entry) {
+	if b.shard.limits.ablation.eagerBases {
+		return
+	}
+	key := slotService{e.hash.Slot(), e.service}
+	acked := b.target.acked(key)
+	if acked == nil || acked.Default(e.hash.Bucket()) != e.endpoint {
+		return
+	}
+	b.waiting[key] = true
+	if b.target.slotBases[key] == nil {
+		b.waiting[slotService{anySlot, e.service}] = true
+	}
+}
+
+func (b *builder) addBases() {
+	for _, service := range b.tables.sortedServices() {
+		id := service.service.ID
+		acked := b.target.bases[id]
+		if !b.target.services[id] || b.waiting[slotService{anySlot, id}] {
+			continue
+		}
+		if acked != nil && acked.Same(service.table) {
+			continue
+		}
+		base := service.table.Base()
+		if b.use(baseBytes + endpointBytes*len(base.Eligible)) {
+			b.sent.batch.Bases = append(b.sent.batch.Bases, base)
+			b.sent.bases[id] = service.table
+		}
+	}
+}
+
+// addSlotBases reports the bases of single slots, and their end.
+func (b *builder) addSlotBases() {
+	var encoder slotBaseEncoder
+	for _, key := range b.slotBaseKeys() {
+		if b.waiting[key] {
+			continue
+		}
+		if base, found := b.shard.slotBases[key]; found {
+			if b.use(encoder.cost(base.table)) {
+				b.sent.batch.SlotBases = append(b.sent.batch.SlotBases, encoder.encode(key, base.table))
+				b.sent.slotBases[key] = base.table
+			}
+			continue
+		}
+		if b.use(slotBytes + baseBytes) {
+			end := common.SlotBase{Slot: key.slot, Base: common.ServiceBase{Service: key.service}}
+			b.sent.batch.SlotBases = append(b.sent.batch.SlotBases, end)
+			b.sent.slotBases[key] = nil
+		}
+	}
+}
+
+// slotBaseKeys returns the slot bases that the target does not have as they
+// are here.
+func (b *builder) slotBaseKeys() []slotService {
+	var keys []slotService
+	for key, base := range b.shard.slotBases {
+		if b.shard.slots[key.slot%shardSlots].target != b.id || b.tables.service(key.service) == nil {
+			continue
+		}
+		acked := b.target.acked(key)
+		if acked != nil && acked.Same(base.table) && !b.baseMoves(key) {
+			continue
+		}
+		keys = append(keys, key)
+	}
+	for key := range b.target.slotBases {
+		if _, found := b.shard.slotBases[key]; !found {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, compareSlotService)
+	return keys
+}
+
+// baseMoves reports whether the target resolves the slot with the service's
+// base and that base is about to change.
+func (b *builder) baseMoves(key slotService) bool {
+	if b.target.slotBases[key] != nil {
+		return false
+	}
+	acked := b.target.bases[key.service]
+	return acked == nil || !acked.Same(b.tables.service(key.service).table)
+}
+
+func (b *builder) finish(now time.Duration, sequence uint64, budget *Budget) *common.ReplicationBatch {
+	b.sent.bytes += batchBytes
+	budget.Bytes -= b.sent.bytes
+	b.sent.at = now
+	b.sent.batch.Target = b.id
+	b.sent.batch.Source = b.tables.self
+	b.sent.batch.SourceIncarnation = b.tables.Incarnation()
+	b.sent.batch.Sequence = sequence
+	b.sent.batch.Exceptions = b.groups.list
+	b.target.sent = b.sent
+	return &b.sent.batch
+}
+
+// exceptionGroups collects flows by service and endpoint.
+type exceptionGroups struct {
+	list []common.ExceptionGroup
+}
+
+func (g *exceptionGroups) find(service common.ServiceID, endpoint common.EndpointID, withdrawn bool) int {
+	return slices.IndexFunc(g.list, func(group common.ExceptionGroup) bool {
+		return group.Service == service && group.Endpoint == endpoint && group.Withdrawn == withdrawn
+	})
+}
+
+// cost returns the bytes that one more flow takes.
+func (g *exceptionGroups) cost(service common.ServiceID, endpoint common.EndpointID, withdrawn bool) int {
+	if g.find(service, endpoint, withdrawn) < 0 {
+		return groupBytes + hashBytes
+	}
+	return hashBytes
+}
+
+func (g *exceptionGroups) add(service common.ServiceID, endpoint common.EndpointID, hash common.FlowHash) {
+	g.addTo(service, endpoint, hash, false)
+}
+
+func (g *exceptionGroups) addTo(service common.ServiceID, endpoint common.EndpointID, hash common.FlowHash, withdrawn bool) {
+	at := g.find(service, endpoint, withdrawn)
+	if at < 0 {
+		at = len(g.list)
+		g.list = append(g.list, common.ExceptionGroup{Service: service, Endpoint: endpoint, Withdrawn: withdrawn})
+	}
+	g.list[at].Hashes = append(g.list[at].Hashes, hash)
+}
+
+// slotBaseEncoder writes each set of a batch once. Later slot bases with the
+// same set name it by its number: they have no endpoints and the number as
+// their only weight.
+type slotBaseEncoder struct {
+	written []*lookup.Table
+}
+
+func (c *slotBaseEncoder) has(table *lookup.Table) bool {
+	return slices.ContainsFunc(c.written, table.Same)
+}
+
+func (c *slotBaseEncoder) cost(table *lookup.Table) int {
+	if c.has(table) {
+		return slotBytes + referenceBytes
+	}
+	return slotBytes + baseBytes + endpointBytes*len(table.Base().Eligible)
+}
+
+func (c *slotBaseEncoder) encode(key slotService, table *lookup.Table) common.SlotBase {
+	if c.has(table) {
+		reference := common.ServiceBase{Service: key.service, Weights: []uint32{table.ID()}}
+		return common.SlotBase{Slot: key.slot, Base: reference}
+	}
+	c.written = append(c.written, table)
+	return common.SlotBase{Slot: key.slot, Base: table.Base()}
+}
+
+func compareSlotService(a, b slotService) int {
+	return cmp.Or(cmp.Compare(a.slot, b.slot), cmp.Compare(a.service, b.service))
+}
--- a/internal/decision/flow/entries.go
+++ b/internal/decision/flow/entries.go
@@ -6,7 +6,7 @@
 	"burdockrelay.example/burdockrelay/common"
 )
 
-// entry is one flow.
+// entry is one flow, 64 bytes.
 type entry struct {
 	tuple    common.FiveTuple
 	flags    entryFlags
@@ -15,44 +15,73 @@
 	seen     time.Duration
 	service  common.ServiceID
 	endpoint common.EndpointID
-	sequence uint32 // initial sequence number of the connection
+	// sequence is the initial sequence number of the connection and previous
+	// that of the connection before it on the same five-tuple. In a held entry
+	// sequence is the instance that reported the flow.
+	sequence uint32
+	previous uint32
 	next     uint32 // chain of the hash class, or of the free list
 }
 
-type entryFlags uint8
+type entryFlags uint16
 
 const (
 	// flagUsed marks an entry that holds a flow.
 	flagUsed entryFlags = 1 << iota
-	// flagSequence is set when the initial sequence number is known.
+	// flagHeld marks a flow that another instance reported and handles.
+	flagHeld
+	// flagNoTuple marks a reported flow of which only the hash is known.
+	flagNoTuple
+	// flagGuessed marks a flow whose endpoint was taken from a default table.
+	flagGuessed
+	// flagSequence and flagPrevious are set when the numbers are known.
 	flagSequence
+	flagPrevious
 	// flagFin and flagReset are set when the caller ended the connection.
 	flagFin
 	flagReset
+	// flagQueued marks a flow in the queue of updates.
+	flagQueued
+	// flagSending marks a flow in a batch that is not acknowledged.
+	flagSending
+	// flagReported marks a flow that the target of its slot holds.
+	flagReported
+	// flagStale marks a flow that the target of its slot may hold with another
+	// endpoint.
+	flagStale
 )
 
-const closedFlags = flagFin | flagReset
+const (
+	closedFlags   = flagFin | flagReset
+	reportedFlags = flagSending | flagReported | flagStale
+)
 
 func (e *entry) has(flag entryFlags) bool {
 	return e.flags&flag != 0
 }
 
+// source returns the instance that reported a held flow.
+func (e *entry) source() common.InstanceID {
+	return common.InstanceID(e.sequence)
+}
+
 // entryTable is a hash table of entries with chaining. Its memory is bounded
-// by the highest number of flows.
+// by the highest number of flows and of held flows.
 type entryTable struct {
 	heads   []uint32 // position + 1, 0 is empty
 	entries []entry
 	free    uint32 // position + 1 of the first free entry
 	used    int
-	limit   int
+	held    int
+	limits  Limits
 }
 
-func newEntryTable(limit int) entryTable {
+func newEntryTable(limits Limits) entryTable {
 	heads := 1
-	for heads < limit {
+	for heads < limits.MaxFlows {
 		heads *= 2
 	}
-	return entryTable{heads: make([]uint32, heads), limit: limit}
+	return entryTable{heads: make([]uint32, heads), limits: limits}
 }
 
 // class uses the middle bits of the hash: the top bits are the same within a
@@ -61,10 +90,23 @@
 	return uint64(hash>>8) & uint64(len(t.heads)-1)
 }
 
+// find returns the entry of the flow, or an entry of which only the hash is
+// known.
 func (t *entryTable) find(hash common.FlowHash, tuple *common.FiveTuple) *entry {
 	for at := t.heads[t.class(hash)]; at != 0; {
 		e := &t.entries[at-1]
-		if e.hash == hash && e.tuple == *tuple {
+		if e.hash == hash && (e.tuple == *tuple || e.has(flagNoTuple)) {
+			return e
+		}
+		at = e.next
+	}
+	return nil
+}
+
+func (t *entryTable) findHash(hash common.FlowHash) *entry {
+	for at := t.heads[t.class(hash)]; at != 0; {
+		e := &t.entries[at-1]
+		if e.hash == hash {
 			return e
 		}
 		at = e.next
@@ -72,16 +114,22 @@
 	return nil
 }
 
+// flows returns the number of flows that this instance handles.
+func (t *entryTable) flows() int {
+	return t.used - t.held
+}
+
 func (t *entryTable) full() bool {
-	return t.used >= t.limit
+	return t.flows() >= t.limits.MaxFlows
+}
+
+func (t *entryTable) heldFull() bool {
+	return t.held >= t.limits.MaxExceptions
 }
 
-// add returns a new entry, or nil when the table is full. It invalidates
+// add returns a new entry for a flow that this instance handles. It invalidates
 // pointers to other entries.
-func (t *entryTable) add(hash common.FlowHash, tuple *common.FiveTuple) *entry {
-	if t.full() {
-		return nil
-	}
+func (t *entryTable) add(hash common.FlowHash) *entry {
 	at := t.free
 	if at == 0 {
 		t.entries = append(t.entries, entry{})
@@ -90,7 +138,7 @@
 		t.free = t.entries[at-1].next
 	}
 	class := t.class(hash)
-	t.entries[at-1] = entry{tuple: *tuple, hash: hash, flags: flagUsed, next: t.heads[class]}
+	t.entries[at-1] = entry{hash: hash, flags: flagUsed, next: t.heads[class]}
 	t.heads[class] = at
 	t.used++
 	return &t.entries[at-1]
@@ -100,13 +148,36 @@
 	link := &t.heads[t.class(e.hash)]
 	for *link != 0 {
 		at := *link
+		if &t.entries[at-1] != e {
+			link = &t.entries[at-1].next
+			continue
+		}
+		if e.has(flagHeld) {
+			t.held--
+		}
+		*link = e.next
+		*e = entry{next: t.free}
+		t.free = at
+		t.used--
+		return
+	}
+}
+
+// position returns where the entry is, for references that survive growth.
+func (t *entryTable) position(e *entry) uint32 {
+	for at := t.heads[t.class(e.hash)]; at != 0; at = t.entries[at-1].next {
 		if &t.entries[at-1] == e {
-			*link = e.next
-			*e = entry{next: t.free}
-			t.free = at
-			t.used--
-			return
+			return at - 1
 		}
-		link = &t.entries[at-1].next
 	}
+	return 0
+}
+
+// at returns the entry at the position if it still holds the flow.
+func (t *entryTable) at(position uint32, hash common.FlowHash) *entry {
+	e := &t.entries[position]
+	if !e.has(flagUsed) || e.hash != hash {
+		return nil
+	}
+	return e
 }
--- /dev/null
+++ b/internal/decision/flow/expire.go
@@ -0,0 +1,96 @@
+package flow
+
+import (
+	"time"
+)
+
+const (
+	// finLinger is how long a flow stays after the caller's last packet when
+	// the caller closed its side: the response may still be under way.
+	finLinger = 60 * time.Second
+	// resetLinger keeps a reset flow for packets that were sent before it.
+	resetLinger = 5 * time.Second
+)
+
+// Expire removes flows that ended or were idle for too long. It examines at
+// most maxEntries entries and returns the number removed.
+func (s *Shard) Expire(now time.Duration, maxEntries int) int {
+	if s.tables == nil {
+		return 0
+	}
+	removed := 0
+	for range min(maxEntries, len(s.table.entries)) {
+		if s.cursor >= len(s.table.entries) {
+			s.cursor = 0
+			s.expireSlotBases(now)
+		}
+		e := &s.table.entries[s.cursor]
+		s.cursor++
+		if e.has(flagUsed) && s.expireEntry(e, now) {
+			removed++
+		}
+	}
+	if len(s.table.entries) == 0 {
+		s.expireSlotBases(now)
+	}
+	return removed
+}
+
+func (s *Shard) expireEntry(e *entry, now time.Duration) bool {
+	state := s.slot(e.hash)
+	own := state.owner == s.tables.self
+	switch {
+	case e.has(flagHeld):
+		if s.owned(e) && !s.limits.ablation.expireHeld {
+			// The owner sees the packets and withdraws the flow when it ends.
+			e.seen = now
+		}
+	case !own && now-state.changed >= handoverKnown && !s.needsReport(s.tables, e):
+		s.forget(s.tables, e)
+		return true
+	}
+	if now-e.seen < s.lifetime(e) {
+		return false
+	}
+	s.remove(s.tables, e)
+	return true
+}
+
+// owned reports whether the instance that reported a held flow still owns its
+// slot and reports to this instance.
+func (s *Shard) owned(e *entry) bool {
+	if e.source() != s.slot(e.hash).owner {
+		return false
+	}
+	successor, found := s.tables.owners.Successor(e.hash.Slot())
+	return found && successor == s.tables.self
+}
+
+func (s *Shard) lifetime(e *entry) time.Duration {
+	idle := DefaultIdleTimeout
+	if service := s.tables.service(e.service); service != nil {
+		idle = service.idleTimeout()
+	}
+	switch {
+	case e.has(flagReset):
+		return min(idle, resetLinger)
+	case e.has(flagFin):
+		return min(idle, finLinger)
+	default:
+		return idle
+	}
+}
+
+// expireSlotBases drops the bases of slots whose silent flows have expired.
+func (s *Shard) expireSlotBases(now time.Duration) {
+	for key, base := range s.slotBases {
+		service := s.tables.service(key.service)
+		lost := s.slots[key.slot%shardSlots].owner != s.tables.self
+		idle := service != nil && now-base.since < service.idleTimeout()
+		if idle && (!lost || now-s.slots[key.slot%shardSlots].changed < handoverKnown) {
+			continue
+		}
+		delete(s.slotBases, key)
+		s.rebuild = true
+	}
+}
--- a/internal/decision/flow/handle_test.go
+++ b/internal/decision/flow/handle_test.go
@@ -44,6 +44,19 @@
 	return tables
 }
 
+// testShard returns a function that handles packets with the shards of one
+// instance.
+func testShard(tables *Tables, limits Limits) func(p *Packet, now time.Duration, lease bool) Action {
+	var shards [Shards]*Shard
+	for i := range shards {
+		shards[i] = NewShard(i, limits)
+		shards[i].Install(tables, 0)
+	}
+	return func(p *Packet, now time.Duration, lease bool) Action {
+		return shards[ShardOf(p.Hash)].Handle(tables, p, now, lease)
+	}
+}
+
 func tcpPacket(tables *Tables, source uint32, first bool, sequence uint32) *Packet {
 	p := &Packet{First: first, Sequence: sequence, Service: tables.Match(serviceAddress)}
 	p.Tuple = common.FiveTuple{
@@ -59,14 +72,14 @@
 // Guards against packets of one flow that reach different endpoints.
 func TestFlowKeepsEndpoint(t *testing.T) {
 	tables := mustTables(t, testSnapshot(4, 1), nil)
-	shard := NewShard(0, Limits{MaxFlows: 100})
+	handle := testShard(tables, Limits{MaxFlows: 100})
 	for source := range uint32(50) {
-		first := shard.Handle(tables, tcpPacket(tables, source, true, 9), 0, true)
+		first := handle(tcpPacket(tables, source, true, 9), 0, true)
 		if first.Kind != Forward {
 			t.Fatalf("first packet: %+v", first)
 		}
 		for range 3 {
-			next := shard.Handle(tables, tcpPacket(tables, source, false, 10), time.Second, true)
+			next := handle(tcpPacket(tables, source, false, 10), time.Second, true)
 			if next != first {
 				t.Fatalf("flow moved from %+v to %+v", first, next)
 			}
@@ -74,44 +87,62 @@
 	}
 }
 
-// Guards against refusals that hit established flows when the table is full.
+// Guards against refusals that hit established flows when the table is full,
+// and against a refused first packet that is forwarded when it comes again.
 func TestFullTableRefusesNewFlowsOnly(t *testing.T) {
 	tables := mustTables(t, testSnapshot(4, 1), nil)
-	shard := NewShard(0, Limits{MaxFlows: 1})
-	kept := shard.Handle(tables, tcpPacket(tables, 1, true, 9), 0, true)
-	refused := shard.Handle(tables, tcpPacket(tables, 2, true, 9), 0, true)
+	a := tcpPacket(tables, 1, true, 9)
+	b := tcpPacket(tables, 2, true, 9)
+	for source := uint32(3); ShardOf(b.Hash) != ShardOf(a.Hash); source++ {
+		b = tcpPacket(tables, source, true, 9)
+	}
+	shard := NewShard(ShardOf(a.Hash), Limits{MaxFlows: 1})
+	shard.Install(tables, 0)
+	kept := shard.Handle(tables, a, 0, true)
+	refused := shard.Handle(tables, b, 0, true)
 	if refused.Kind != Refuse || refused.Code != resultcode.RefusedTableFull {
 		t.Fatalf("second flow: %+v", refused)
 	}
-	if again := shard.Handle(tables, tcpPacket(tables, 1, false, 10), 0, true); again != kept {
+	a.First, a.Reset = false, true
+	if again := shard.Handle(tables, a, 0, true); again != kept {
 		t.Fatalf("established flow: %+v", again)
 	}
+	if shard.Expire(10*time.Second, 10) != 1 {
+		t.Fatal("a reset flow did not expire")
+	}
+	if again := shard.Handle(tables, b, 10*time.Second, true); again.Kind != Refuse {
+		t.Fatalf("repeated refused packet: %+v", again)
+	}
+	b.Sequence++
+	if next := shard.Handle(tables, b, 10*time.Second, true); next.Kind != Forward {
+		t.Fatalf("new connection after a refusal: %+v", next)
+	}
 }
 
 // Guards against an instance that decides for slots of others, against relay
 // loops and against decisions without a lease.
 func TestRoute(t *testing.T) {
 	tables := mustTables(t, testSnapshot(4, 3), nil)
-	shard := NewShard(0, Limits{MaxFlows: 1000})
+	handle := testShard(tables, Limits{MaxFlows: 1000})
 	for source := range uint32(200) {
 		p := tcpPacket(tables, source, true, 9)
 		owner, _ := tables.Owners().Owner(p.Hash.Slot())
-		action := shard.Handle(tables, p, 0, true)
+		action := handle(p, 0, true)
 		if (owner == 1) != (action.Kind == Forward) {
 			t.Fatalf("owner %d: %+v", owner, action)
 		}
 		if action.Kind == Relay && action.HopCount != 1 {
 			t.Fatalf("relayed with hop count %d", action.HopCount)
 		}
-		fenced := shard.Handle(tables, p, 0, false)
+		fenced := handle(p, 0, false)
 		if fenced.Kind != Relay || fenced.Code != resultcode.RouteFenced {
 			t.Fatalf("fenced: %+v", fenced)
 		}
 		p.HopCount = 1
-		if relayed := shard.Handle(tables, p, 0, true); relayed.Kind != Forward {
+		if relayed := handle(p, 0, true); relayed.Kind != Forward {
 			t.Fatalf("relayed packet: %+v", relayed)
 		}
-		if late := shard.Handle(tables, p, 0, false); late.Kind != Drop {
+		if late := handle(p, 0, false); late.Kind != Drop {
 			t.Fatalf("relayed packet at a fenced instance: %+v", late)
 		}
 	}
--- a/internal/decision/flow/packet.go
+++ b/internal/decision/flow/packet.go
@@ -62,29 +62,46 @@
 	// MaxExceptions is the highest number of flows that the shard holds for
 	// other instances; 0 is MaxFlows.
 	MaxExceptions int
+	// FirstSequence is the sequence number of the first replication batch. A
+	// process that restarts with the same incarnation must pass a higher one
+	// than it used before, or its peers take its batches for old ones.
+	FirstSequence uint64
+
+	// ablation switches mechanisms off, so that tests can show that they are
+	// needed.
+	ablation ablation
+}
+
+// ablation is set by tests only.
+type ablation struct {
+	noHandover    bool // unknown flows of a gained slot are not sent to its former owner
+	noExceptions  bool // exceptions are not sent
+	noSlotBases   bool // the base of a gained slot is not kept
+	eagerBases    bool // a new base is sent before the exceptions to it
+	noRefusals    bool // refused flows are not remembered
+	reuseMoves    bool // a new sequence number moves a flow off a leaving endpoint at once
+	expireHeld    bool // held flows expire although their owner lives
+	tableWins     bool // a table stays in use after the instance rejoined
+	noForeignRule bool // flows of lost slots wait for the least age
 }
 
 // Stats holds the counters of one shard.
 type Stats struct {
-	OpenFlows       int
-	MaxFlows        int
+	OpenFlows int
+	MaxFlows  int
+	// ExceptionsOwned is the number of flows that other instances hold for
+	// this one, ExceptionsHeld the number held for others.
 	ExceptionsOwned int
 	ExceptionsHeld  int
 	FlowsOpened     uint64
 	FlowsRefused    uint64
-	FlowsAdopted    uint64
-	// Pending is the number of updates that no batch has carried yet.
+	// FlowsAdopted counts flows that were first seen in the middle.
+	FlowsAdopted uint64
+	// ExceptionsLost counts reported flows that found no room.
+	ExceptionsLost uint64
+	// Pending is the number of updates that no target has acknowledged.
 	Pending int
 }
 
-// Budget bounds what one round of TakeReplication may send. Shards subtract
-// what they use.
-type Budget struct {
-	// Bytes is the number of bytes left.
-	Bytes int
-	// MaxBatchBytes bounds one batch.
-	MaxBatchBytes int
-}
-
 // DefaultIdleTimeout applies to services without an idle timeout.
 const DefaultIdleTimeout = 15 * time.Minute
--- /dev/null
+++ b/internal/decision/flow/slots.go
@@ -0,0 +1,276 @@
+package flow
+
+import (
+	"time"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/decision/lookup"
+)
+
+// shardSlots is the number of slots of a shard.
+const shardSlots = common.Slots / Shards
+
+// slotState is what a shard knows about the ownership of one slot.
+type slotState struct {
+	owner common.InstanceID
+	// target gets this shard's reports on the slot: the successor of an owned
+	// slot, else the owner. 0 is none.
+	target            common.InstanceID
+	targetIncarnation uint64
+	// former is the owner before this instance, 0 is none.
+	former common.InstanceID
+	// changed is when this instance gained or lost the slot.
+	changed time.Duration
+}
+
+// slotService identifies the base of one service in one slot.
+type slotService struct {
+	slot    uint16
+	service common.ServiceID
+}
+
+// slotBase is the table that flows of a gained slot were opened with.
+type slotBase struct {
+	table *lookup.Table
+	since time.Duration
+	// certain is set when the former owner reported the base. Otherwise it is
+	// this instance's own table at the time.
+	certain bool
+}
+
+// slotSet is a set of the slots of a shard.
+type slotSet [shardSlots / 64]uint64
+
+func (s *slotSet) add(local int) {
+	s[local/64] |= 1 << (local % 64)
+}
+
+func (s *slotSet) has(local int) bool {
+	return s[local/64]&(1<<(local%64)) != 0
+}
+
+func (s *slotSet) empty() bool {
+	return *s == slotSet{}
+}
+
+// localSlot returns the position of the flow's slot within its shard.
+func localSlot(hash common.FlowHash) int {
+	return int(hash.Slot() % shardSlots)
+}
+
+func (s *Shard) slot(hash common.FlowHash) *slotState {
+	return &s.slots[localSlot(hash)]
+}
+
+// number returns the group-wide number of a slot of this shard.
+func (s *Shard) number(local int) uint16 {
+	return uint16(s.index*shardSlots + local)
+}
+
+// Install is called once for each new Tables before packets are handled with
+// them.
+func (s *Shard) Install(t *Tables, now time.Duration) {
+	previous := s.tables
+	s.tables = t
+	s.installed = now
+	gained, lost := s.updateSlots(t, now)
+	s.keepChangedTables(t, previous, now)
+	if !gained.empty() {
+		s.gain(t, previous, &gained, now)
+	}
+	s.rebuild = s.rebuild || !gained.empty() || !lost.empty()
+	s.forgetSources(t)
+}
+
+// updateSlots takes over the new assignment and returns the slots that this
+// instance gained and lost.
+func (s *Shard) updateSlots(t *Tables, now time.Duration) (gained, lost slotSet) {
+	var moved slotSet
+	for local := range s.slots {
+		state := &s.slots[local]
+		owner, _ := t.owners.Owner(s.number(local))
+		switch {
+		case owner == state.owner:
+		case owner == t.self:
+			gained.add(local)
+			state.former = state.owner
+			state.changed = now
+		case state.owner == t.self:
+			lost.add(local)
+			state.changed = now
+		}
+		state.owner = owner
+		if s.updateTarget(t, local) {
+			moved.add(local)
+		}
+	}
+	s.clearReports(&moved)
+	return gained, lost
+}
+
+// updateTarget sets the target of a slot and reports whether what was reported
+// on the slot must be sent again.
+func (s *Shard) updateTarget(t *Tables, local int) bool {
+	state := &s.slots[local]
+	next := state.owner
+	if state.owner == t.self {
+		next, _ = t.owners.Successor(s.number(local))
+	}
+	incarnation := uint64(0)
+	if member := t.members[next]; member != nil {
+		incarnation = member.Incarnation
+	}
+	same := next == state.target && incarnation == state.targetIncarnation
+	if same {
+		return false
+	}
+	if next != state.target && next != 0 && state.owner == t.self {
+		// The new target may hold flows of this slot from an earlier time, of
+		// which some have ended since.
+		s.target(next, incarnation).resets.add(local)
+	}
+	state.target = next
+	state.targetIncarnation = incarnation
+	return true
+}
+
+// clearReports forgets what the former targets of the slots hold.
+func (s *Shard) clearReports(moved *slotSet) {
+	if moved.empty() {
+		return
+	}
+	s.rebuild = true
+	for i := range s.table.entries {
+		e := &s.table.entries[i]
+		if e.has(flagUsed) && moved.has(localSlot(e.hash)) {
+			e.flags &^= reportedFlags
+		}
+	}
+}
+
+// keepChangedTables keeps the table of each service that changed as the base of
+// the owned slots that have none. Flows that were silent since this instance
+// gained the slot were opened with it.
+func (s *Shard) keepChangedTables(t, previous *Tables, now time.Duration) {
+	if previous == nil {
+		return
+	}
+	for id, service := range t.services {
+		before := previous.services[id]
+		if before == nil || before.table == service.table {
+			continue
+		}
+		s.rebuild = true
+		s.keepTable(t, id, before.table, now, service.idleTimeout())
+	}
+}
+
+func (s *Shard) keepTable(t *Tables, id common.ServiceID, table *lookup.Table, now, idle time.Duration) {
+	if s.limits.ablation.noSlotBases {
+		return
+	}
+	for local := range s.slots {
+		state := &s.slots[local]
+		if state.owner != t.self || now-state.changed >= idle {
+			continue
+		}
+		key := slotService{s.number(local), id}
+		if _, found := s.slotBases[key]; !found {
+			s.slotBases[key] = slotBase{table: table, since: state.changed}
+		}
+	}
+}
+
+// gain takes over the flows and bases of slots that this instance now owns.
+func (s *Shard) gain(t, previous *Tables, gained *slotSet, now time.Duration) {
+	for key := range s.slotBases {
+		if gained.has(int(key.slot % shardSlots)) {
+			delete(s.slotBases, key)
+		}
+	}
+	for local := range s.slots {
+		if gained.has(local) {
+			s.gainBases(t, previous, local, now)
+		}
+	}
+	rejoined := previous != nil && previous.selfMember != nil && previous.selfMember.State == common.MemberJoining
+	for i := range s.table.entries {
+		e := &s.table.entries[i]
+		if !e.has(flagUsed) || !gained.has(localSlot(e.hash)) {
+			continue
+		}
+		s.gainEntry(t, e, rejoined)
+	}
+}
+
+// gainEntry takes over one flow. After a rejoin, other instances have handled
+// the flows of this table for a while: only flows that they do not know are
+// kept.
+func (s *Shard) gainEntry(t *Tables, e *entry, rejoined bool) {
+	switch {
+	case e.has(flagHeld):
+		s.inherit(t, e)
+	case !rejoined || s.limits.ablation.tableWins:
+	case e.has(flagQueued) && !e.has(flagReported):
+		e.flags |= flagGuessed
+	default:
+		s.forget(t, e)
+	}
+}
+
+func (s *Shard) gainBases(t, previous *Tables, local int, now time.Duration) {
+	if s.limits.ablation.noSlotBases {
+		return
+	}
+	for id, service := range t.services {
+		key := slotService{s.number(local), id}
+		if table := s.sources[s.slots[local].former].base(key); table != nil {
+			s.slotBases[key] = slotBase{table: table, since: now, certain: true}
+			continue
+		}
+		before := previous.service(id)
+		if before != nil && before.table != service.table {
+			s.slotBases[key] = slotBase{table: before.table, since: now}
+		}
+	}
+}
+
+// forgetSources drops the bases of instances that left the view.
+func (s *Shard) forgetSources(t *Tables) {
+	for id := range s.sources {
+		if t.members[id] == nil {
+			delete(s.sources, id)
+		}
+	}
+}
+
+// wantedBase returns the table that this instance resolves unknown flows of an
+// owned slot with.
+func (s *Shard) wantedBase(service *ServiceTables, key slotService) *lookup.Table {
+	if base, found := s.slotBases[key]; found {
+		return base.table
+	}
+	return service.table
+}
+
+// resolve returns the endpoint of an unknown flow.
+func (s *Shard) resolve(t *Tables, service *ServiceTables, hash common.FlowHash) common.EndpointID {
+	key := slotService{hash.Slot(), service.service.ID}
+	if base, found := s.slotBases[key]; found {
+		return base.table.Default(hash.Bucket())
+	}
+	owner := s.slot(hash).owner
+	if owner != t.self {
+		if table := s.sources[owner].base(key); table != nil {
+			return table.Default(hash.Bucket())
+		}
+	}
+	return service.table.Default(hash.Bucket())
+}
+
+func (s *ServiceTables) idleTimeout() time.Duration {
+	if s.service.Policy.IdleTimeout > 0 {
+		return s.service.Policy.IdleTimeout
+	}
+	return DefaultIdleTimeout
+}
--- a/internal/decision/flow/tables.go
+++ b/internal/decision/flow/tables.go
@@ -32,6 +32,15 @@
 	service   *common.Service
 	table     *lookup.Table
 	endpoints map[common.EndpointID]*endpoint
+	order     []*endpoint
+	shared    *sharedService
+}
+
+// sharedService is the state of a service that all shards share.
+type sharedService struct {
+	// nextArrival is the theoretical arrival time of the rate limit, in
+	// nanoseconds.
+	nextArrival atomic.Int64
 }
 
 // endpoint is one endpoint of a service with its counters.
@@ -39,6 +48,8 @@
 	common.Endpoint
 	eligible bool
 	counters *endpointCounters
+	// repeatsBefore is the counter of repeats when the tables were built.
+	repeatsBefore uint64
 }
 
 // endpointCounters is shared by all shards and by successive Tables.
@@ -111,8 +122,12 @@
 	s := &ServiceTables{
 		service:   service,
 		endpoints: make(map[common.EndpointID]*endpoint, len(service.Endpoints)),
+		shared:    &sharedService{},
 	}
 	before := previous.service(service.ID)
+	if before != nil {
+		s.shared = before.shared
+	}
 	for i := range service.Endpoints {
 		if err := s.addEndpoint(&service.Endpoints[i], before); err != nil {
 			return err
@@ -132,8 +147,10 @@
 	e := &endpoint{Endpoint: *added, counters: &endpointCounters{}}
 	if before != nil && before.endpoints[added.ID] != nil {
 		e.counters = before.endpoints[added.ID].counters
+		e.repeatsBefore = e.counters.repeats.Load()
 	}
 	s.endpoints[added.ID] = e
+	s.order = append(s.order, e)
 	return nil
 }
 
@@ -199,3 +216,46 @@
 	}
 	return member.EntryAddress, true
 }
+
+// relaysFor reports whether a former owner can still handle packets.
+func (t *Tables) relaysFor(id common.InstanceID) bool {
+	member := t.members[id]
+	if member == nil || id == t.self {
+		return false
+	}
+	return member.Owns() || member.State == common.MemberLeaving
+}
+
+// sharers returns the number of instances among which the flows are divided.
+func (t *Tables) sharers() int {
+	return max(len(t.owners.Members()), 1)
+}
+
+// count adds to the open flows of the entry's endpoint.
+func (t *Tables) count(e *entry, n int64) {
+	service := t.service(e.service)
+	if service == nil {
+		return
+	}
+	if target := service.endpoints[e.endpoint]; target != nil {
+		target.counters.open.Add(n)
+	}
+}
+
+// Incarnation returns this instance's incarnation in the view, 0 when the view
+// does not hold it.
+func (t *Tables) Incarnation() uint64 {
+	if t.selfMember == nil {
+		return 0
+	}
+	return t.selfMember.Incarnation
+}
+
+// sortedServices returns the services in the order of the snapshot.
+func (t *Tables) sortedServices() []*ServiceTables {
+	services := make([]*ServiceTables, 0, len(t.services))
+	for i := range t.snapshot.Services {
+		services = append(services, t.services[t.snapshot.Services[i].ID])
+	}
+	return services
+}
--- a/internal/decision/lookup/lookup.go
+++ b/internal/decision/lookup/lookup.go
@@ -17,24 +17,37 @@
 	uniform  bool
 	eligible []common.EndpointID
 	weights  []uint32
-	defaults [common.Buckets]common.EndpointID
+	// defaults is nil in a table made by NewSet.
+	defaults *[common.Buckets]common.EndpointID
 }
 
 // Build returns the default table of a set of endpoints. The order of the
 // endpoints does not matter. Endpoints without a weight, or with weight 0,
 // count with weight 1.
 func Build(service common.ServiceID, eligible []common.EndpointID, weights []uint32) *Table {
-	t := &Table{service: service, uniform: true}
-	t.sortSet(eligible, weights)
-	t.id = t.hashSet()
+	t := NewSet(service, eligible, weights)
+	t.defaults = &[common.Buckets]common.EndpointID{}
 	for bucket := range t.defaults {
 		t.defaults[bucket] = t.best(uint8(bucket))
 	}
 	return t
 }
 
+// NewSet returns a table that computes each default when it is asked for. It
+// takes less than a tenth of the memory of a built table and is meant for
+// former sets, which few packets need.
+func NewSet(service common.ServiceID, eligible []common.EndpointID, weights []uint32) *Table {
+	t := &Table{service: service, uniform: true}
+	t.sortSet(eligible, weights)
+	t.id = t.hashSet()
+	return t
+}
+
 // Default returns the default endpoint of a bucket, or 0 when the set is empty.
 func (t *Table) Default(bucket uint8) common.EndpointID {
+	if t.defaults == nil {
+		return t.best(bucket)
+	}
 	return t.defaults[bucket]
 }
 
