Compare load policies on the users' workloads in an experiment

Cause: the choice between hashing, bounded load and two choices was not measured. Ruled out: sending younger flows earlier, because most flows end within 2 s.

--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 build:
 	go build -o $(BIN)/ ./binaries/...
 	cd standins && go build -o ../$(BIN)/ ./...
+	cd experiments && go build -o ../$(BIN)/ ./...
 
 test:
 	scripts/test.sh
@@ -24,6 +25,7 @@
 	$(GOLANGCI) fmt --diff
 	$(GOLANGCI) run
 	cd standins && $(GOLANGCI) run --config ../.golangci.yml
+	cd experiments && $(GOLANGCI) run --config ../.golangci.yml
 
 fmt: tools
 	$(GOLANGCI) fmt
@@ -31,5 +33,9 @@
 demo: build
 	scripts/demo.sh
 
+# Compares the load policies on the users' workloads; writes CSV and plots.
+experiment: build
+	$(BIN)/policy-experiment -out out/experiment
+
 clean:
 	rm -rf $(BIN) out
--- /dev/null
+++ b/experiments/cmd/policy-experiment/main.go
@@ -0,0 +1,137 @@
+// Command policy-experiment compares load policies and baselines on the users'
+// workloads and writes CSV and plots.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/experiments/replay"
+	"burdockrelay.example/burdockrelay/experiments/report"
+)
+
+const instances = 5
+
+// candidate is one router under comparison.
+type candidate struct {
+	name  string
+	build func() replay.Router
+}
+
+var candidates = []candidate{
+	{"plain-hash", func() replay.Router { return replay.NewHashRouter(instances) }},
+	{"receiver-tracking", func() replay.Router { return replay.NewLocalRouter(instances) }},
+	{"burdock-hash", func() replay.Router { return replay.NewGroupRouter(instances, common.SelectionHash) }},
+	{"burdock-bounded", func() replay.Router { return replay.NewGroupRouter(instances, common.SelectionBounded) }},
+	{"burdock-two-choices", func() replay.Router { return replay.NewGroupRouter(instances, common.SelectionTwoChoices) }},
+}
+
+func main() {
+	seeds := flag.Int("seeds", 5, "number of seeds")
+	firstSeed := flag.Uint64("first-seed", 1, "first seed")
+	duration := flag.Duration("duration", 60*time.Second, "virtual time of one run")
+	lag := flag.Duration("report-lag", time.Second, "age of load reports when they are used")
+	parallel := flag.Int("parallel", 4, "runs at the same time")
+	output := flag.String("out", "out/experiment", "directory for CSV and plots")
+	flag.Parse()
+	if err := run(*seeds, *firstSeed, *duration, *lag, *parallel, *output); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(seeds int, firstSeed uint64, duration, lag time.Duration, parallel int, output string) error {
+	if err := os.MkdirAll(output, 0o755); err != nil {
+		return fmt.Errorf("create output directory: %w", err)
+	}
+	rows := runAll(plan(seeds, firstSeed), duration, lag, parallel)
+	if err := report.WriteCSV(filepath.Join(output, "policy.csv"), rows); err != nil {
+		return err
+	}
+	for _, workload := range []replay.Workload{replay.Office, replay.Trust} {
+		if err := report.Plot(output, workload.Name, rows); err != nil {
+			return err
+		}
+	}
+	printSummary(rows)
+	return nil
+}
+
+// job is one run to do.
+type job struct {
+	workload  replay.Workload
+	scenario  replay.Scenario
+	candidate candidate
+	seed      uint64
+}
+
+func plan(seeds int, firstSeed uint64) []job {
+	var jobs []job
+	for _, workload := range []replay.Workload{replay.Office, replay.Trust} {
+		for _, scenario := range replay.Scenarios {
+			for _, c := range candidates {
+				for i := range seeds {
+					jobs = append(jobs, job{workload, scenario, c, firstSeed + uint64(i)})
+				}
+			}
+		}
+	}
+	return jobs
+}
+
+func runAll(jobs []job, duration, lag time.Duration, parallel int) []report.Row {
+	rows := make([]report.Row, len(jobs))
+	slots := make(chan struct{}, max(parallel, 1))
+	var group sync.WaitGroup
+	for i, j := range jobs {
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			settings := replay.Settings{
+				Workload: j.workload, Scenario: j.scenario, Instances: instances,
+				Duration: duration, Seed: j.seed, ReportLag: lag,
+			}
+			rows[i] = report.Row{
+				Workload: j.workload.Name, Scenario: string(j.scenario), Router: j.candidate.name,
+				Seed: j.seed, Result: replay.Run(settings, j.candidate.build()),
+			}
+		})
+	}
+	group.Wait()
+	return rows
+}
+
+// printSummary prints the mean and the highest value over the seeds.
+func printSummary(rows []report.Row) {
+	fmt.Printf("%-18s %-12s %-20s %9s %8s %16s %14s %14s\n", "workload", "scenario", "router",
+		"flows", "broken", "imbalance", "control B/s", "peak B/s")
+	for start := 0; start < len(rows); {
+		end := start
+		var broken, imbalance, control, peak []float64
+		flows := 0
+		for end < len(rows) && sameCase(rows[start], rows[end]) {
+			r := rows[end].Result
+			flows += r.Flows
+			broken = append(broken, float64(r.Broken))
+			imbalance = append(imbalance, r.Imbalance)
+			control = append(control, r.ControlBytesPerSecond)
+			peak = append(peak, r.PeakControlBytesPerSecond)
+			end++
+		}
+		i := report.Summarize(imbalance)
+		fmt.Printf("%-18s %-12s %-20s %9d %8.0f %8.3f ± %.3f %14.0f %14.0f\n",
+			rows[start].Workload, rows[start].Scenario, rows[start].Router, flows,
+			report.Summarize(broken).Mean*float64(end-start), i.Mean, i.Deviation,
+			report.Summarize(control).Highest, report.Summarize(peak).Highest)
+		start = end
+	}
+}
+
+func sameCase(a, b report.Row) bool {
+	return a.Workload == b.Workload && a.Scenario == b.Scenario && a.Router == b.Router
+}
--- /dev/null
+++ b/experiments/replay/group.go
@@ -0,0 +1,345 @@
+package replay
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/decision/flow"
+	"burdockrelay.example/burdockrelay/proto/entrypb"
+)
+
+const (
+	// controlBytesPerSecond is the budget of a daemon for control traffic; half
+	// of it is left to membership, health and releases.
+	controlBytesPerSecond     = 4096
+	replicationBytesPerSecond = controlBytesPerSecond / 2
+	// datagramHeaderBytes is the IP and UDP header and the datagram's own fields.
+	datagramHeaderBytes = 28 + 40
+	// ackBytes is the size of an acknowledgement with its headers.
+	ackBytes = datagramHeaderBytes + 10
+	// maxFlowsPerShard holds several hundred thousand flows an instance.
+	maxFlowsPerShard = 8192
+	// leaveDeadline bounds the hand-over of a leaver; after it the leaver relays
+	// for relayTime, because the fabric still gives it packets.
+	leaveDeadline = 30 * time.Second
+	relayTime     = 2 * time.Second
+)
+
+// instance is one entry instance of a group.
+type instance struct {
+	member common.Member
+	tables *flow.Tables
+	shards [flow.Shards]*flow.Shard
+	alive  bool
+	bytes  int
+}
+
+// groupRouter runs the packet decisions of all instances of a group.
+type groupRouter struct {
+	policy    common.Policy
+	instances []*instance
+	endpoints []common.Endpoint
+	sequence  uint64
+	// deadAt is when the others declare a killed instance dead.
+	deadAt map[int]time.Duration
+	// leaving holds the instances that hand over, and since when.
+	leaving map[int]time.Duration
+}
+
+// NewGroupRouter returns the burdockrelay decisions with a load policy.
+func NewGroupRouter(instances int, selection common.Selection) Router {
+	r := &groupRouter{
+		policy: common.Policy{
+			Selection: selection, BoundPercent: 125, IdleTimeout: idleTimeout,
+			MaxFlowsPerEndpoint: 1 << 20, MaxEjectedPercent: 50,
+		},
+		deadAt:  make(map[int]time.Duration),
+		leaving: make(map[int]time.Duration),
+	}
+	for i := range instances {
+		r.instances = append(r.instances, newInstance(i, 1))
+	}
+	return r
+}
+
+func newInstance(number int, incarnation uint64) *instance {
+	name := fmt.Sprintf("entry-%d", number+1)
+	address := netip.AddrFrom4([4]byte{127, 0, 10, byte(number + 1)})
+	created := &instance{
+		alive: true,
+		member: common.Member{
+			ID: common.InstanceIDOf(name), Name: name, Incarnation: incarnation,
+			EntryAddress: netip.AddrPortFrom(address, 6081), State: common.MemberServing,
+		},
+	}
+	for i := range created.shards {
+		created.shards[i] = flow.NewShard(i, flow.Limits{MaxFlows: maxFlowsPerShard})
+	}
+	return created
+}
+
+func (r *groupRouter) find(address netip.AddrPort) *instance {
+	for _, candidate := range r.instances {
+		if candidate.member.EntryAddress == address {
+			return candidate
+		}
+	}
+	return nil
+}
+
+func (r *groupRouter) byID(id common.InstanceID) *instance {
+	for _, candidate := range r.instances {
+		if candidate.member.ID == id {
+			return candidate
+		}
+	}
+	return nil
+}
+
+// Route handles the packet at the receiving instance and, when it relays, at
+// the owner.
+func (r *groupRouter) Route(number int, packet *flow.Packet, now time.Duration) common.EndpointID {
+	receiver := r.instances[number]
+	packet.HopCount = 0
+	for receiver != nil && receiver.alive {
+		action, ok := receiver.handle(packet, now)
+		switch {
+		case !ok:
+			return 0
+		case action.Kind == flow.Forward:
+			return action.Endpoint
+		case action.Kind != flow.Relay:
+			return 0
+		}
+		packet.HopCount = action.HopCount
+		receiver = r.find(action.To)
+	}
+	return 0
+}
+
+func (i *instance) handle(packet *flow.Packet, now time.Duration) (flow.Action, bool) {
+	packet.Service = i.tables.Match(common.ServiceAddress{
+		Address: serviceAddress, Port: servicePort, Protocol: common.ProtocolTCP,
+	})
+	if packet.Service == nil {
+		return flow.Action{}, false
+	}
+	shard := i.shards[flow.ShardOf(packet.Hash)]
+	return shard.Handle(i.tables, packet, now, true), true
+}
+
+// Update installs a snapshot with these endpoints on every instance.
+func (r *groupRouter) Update(endpoints []common.Endpoint, now time.Duration) {
+	r.endpoints = endpoints
+	r.install(now)
+}
+
+func (r *groupRouter) install(now time.Duration) {
+	r.sequence++
+	settled := len(r.deadAt) == 0 && len(r.leaving) == 0
+	for _, target := range r.instances {
+		if target.alive {
+			tables, err := flow.NewTables(r.snapshot(target, settled), target.tables)
+			if err != nil {
+				panic(err)
+			}
+			target.tables = tables
+			for _, shard := range target.shards {
+				shard.Install(tables, now)
+			}
+		}
+	}
+}
+
+func (r *groupRouter) members() []common.Member {
+	var members []common.Member
+	for i, member := range r.instances {
+		_, unnoticed := r.deadAt[i]
+		if member.alive || unnoticed {
+			members = append(members, member.member)
+		}
+	}
+	return members
+}
+
+func (r *groupRouter) snapshot(self *instance, settled bool) *common.Snapshot {
+	return &common.Snapshot{
+		Release: 1, ReleaseHash: "replay", Self: self.member.ID, Settled: settled,
+		Epoch: 1, Sequence: r.sequence,
+		Members: r.members(),
+		Services: []common.Service{{
+			ID: 1, Name: "replayed",
+			Address:   common.ServiceAddress{Address: serviceAddress, Port: servicePort, Protocol: common.ProtocolTCP},
+			Policy:    r.policy,
+			Endpoints: r.endpoints,
+		}},
+	}
+}
+
+// Tick expires flows, exchanges replication and notices dead instances.
+func (r *groupRouter) Tick(now time.Duration) {
+	changed := false
+	for i, at := range r.deadAt {
+		if now >= at {
+			delete(r.deadAt, i)
+			changed = true
+		}
+	}
+	if changed {
+		r.install(now)
+	}
+	for _, source := range r.instances {
+		if source.alive {
+			r.replicate(source, now)
+		}
+	}
+	r.finishLeaving(now)
+}
+
+func (r *groupRouter) replicate(source *instance, now time.Duration) {
+	budget := flow.Budget{Bytes: int(replicationBytesPerSecond * TickInterval / time.Second)}
+	for _, shard := range source.shards {
+		shard.Expire(now, maxFlowsPerShard)
+		for _, batch := range shard.TakeReplication(source.tables, now, &budget) {
+			r.deliver(source, &batch, now)
+		}
+	}
+}
+
+func (r *groupRouter) deliver(source *instance, batch *common.ReplicationBatch, now time.Duration) {
+	source.bytes += encodedBytes(batch) + datagramHeaderBytes
+	target := r.byID(batch.Target)
+	if target == nil || !target.alive {
+		return
+	}
+	shard := flow.ShardOfSequence(batch.Sequence)
+	target.shards[shard].AddReplication(target.tables, batch, now)
+	target.bytes += ackBytes
+	source.shards[shard].AckReplication(batch.Target, batch.Sequence)
+}
+
+// encodedBytes returns the protobuf size of a batch.
+func encodedBytes(batch *common.ReplicationBatch) int {
+	message := &entrypb.ReplicationBatch{
+		Target: uint32(batch.Target), Source: uint32(batch.Source),
+		SourceIncarnation: batch.SourceIncarnation, Sequence: batch.Sequence,
+	}
+	for _, group := range batch.Exceptions {
+		encoded := &entrypb.ExceptionGroup{
+			Service: uint32(group.Service), Endpoint: uint32(group.Endpoint), Withdrawn: group.Withdrawn,
+		}
+		for _, hash := range group.Hashes {
+			encoded.Hashes = append(encoded.Hashes, uint64(hash))
+		}
+		message.Exceptions = append(message.Exceptions, encoded)
+	}
+	for _, base := range batch.Bases {
+		message.Bases = append(message.Bases, encodeBase(base))
+	}
+	for _, base := range batch.SlotBases {
+		message.SlotBases = append(message.SlotBases, &entrypb.SlotBase{
+			Slot: uint32(base.Slot), Base: encodeBase(base.Base),
+		})
+	}
+	return proto.Size(message)
+}
+
+func encodeBase(base common.ServiceBase) *entrypb.ServiceBase {
+	encoded := &entrypb.ServiceBase{Service: uint32(base.Service), Weights: base.Weights}
+	for _, endpoint := range base.Eligible {
+		encoded.Eligible = append(encoded.Eligible, uint32(endpoint))
+	}
+	return encoded
+}
+
+// Kill ends an instance without notice.
+func (r *groupRouter) Kill(number int, now time.Duration) {
+	r.instances[number].alive = false
+	r.deadAt[number] = now + detectionDelay
+	r.install(now)
+}
+
+// Replace lets an instance leave in order. It first stops making exceptions
+// while it still owns its slots, and leaves when all of them are with its
+// successors. A later flow on the default needs no report.
+func (r *groupRouter) Replace(number int, now time.Duration) {
+	r.leaving[number] = now
+	r.install(now)
+}
+
+// finishLeaving moves each leaver on: it hands over, then only relays, then
+// ends.
+func (r *groupRouter) finishLeaving(now time.Duration) {
+	for number, since := range r.leaving {
+		leaver := r.instances[number]
+		switch {
+		case leaver.member.State == common.MemberLeaving && now-since >= relayTime:
+			delete(r.leaving, number)
+			r.start(number, now)
+		case leaver.member.State == common.MemberLeaving:
+		case leaver.pending() == 0 || now-since >= leaveDeadline:
+			leaver.member.State = common.MemberLeaving
+			r.leaving[number] = now
+			r.install(now)
+		}
+	}
+}
+
+func (i *instance) pending() int {
+	pending := 0
+	for _, shard := range i.shards {
+		pending += shard.Stats().Pending
+	}
+	return pending
+}
+
+// start puts a new instance in the place of one that ended. It pulls the state
+// of its slots before it serves.
+func (r *groupRouter) start(number int, now time.Duration) {
+	ended := r.instances[number]
+	fresh := newInstance(number, ended.member.Incarnation+1)
+	fresh.bytes = ended.bytes
+	fresh.member.State = common.MemberJoining
+	r.instances[number] = fresh
+	r.install(now)
+	r.pull(fresh, now)
+	fresh.member.State = common.MemberServing
+	r.install(now)
+}
+
+// pull gives a joining instance the state of the slots it will own.
+func (r *groupRouter) pull(joiner *instance, now time.Duration) {
+	for _, source := range r.instances {
+		if source == joiner || !source.alive {
+			continue
+		}
+		future := r.snapshot(source, false)
+		for i := range future.Members {
+			if future.Members[i].ID == joiner.member.ID {
+				future.Members[i].State = common.MemberServing
+			}
+		}
+		future.Sequence++
+		tables, err := flow.NewTables(future, source.tables)
+		if err != nil {
+			panic(err)
+		}
+		for i, shard := range source.shards {
+			batch := shard.PullReplication(source.tables, tables, joiner.member.ID)
+			source.bytes += encodedBytes(&batch)
+			joiner.shards[i].AddReplication(joiner.tables, &batch, now)
+		}
+	}
+}
+
+func (r *groupRouter) ControlBytes() []int {
+	sent := make([]int, len(r.instances))
+	for i, source := range r.instances {
+		sent[i] = source.bytes
+	}
+	return sent
+}
--- /dev/null
+++ b/experiments/replay/workload.go
@@ -0,0 +1,130 @@
+// Package replay drives the packet decisions with the users' workloads and
+// counts broken flows, imbalance and control bytes. It runs the decisions on a
+// virtual clock; there is no network in it.
+package replay
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"burdockrelay.example/burdockrelay/common"
+)
+
+// Workload describes one service of one user.
+type Workload struct {
+	Name      string
+	Endpoints int
+	// NewFlowsPerSecond is the arrival rate over all instances.
+	NewFlowsPerSecond float64
+	// LongShare is the share of flows that are long transfers or sessions.
+	LongShare float64
+	// ShortMean and LongMean are mean durations (exponential).
+	ShortMean, LongMean time.Duration
+	// PacketInterval is the time between the mid-flow packets of one flow.
+	PacketInterval time.Duration
+}
+
+// Office and Trust are the busiest services of the two users. The rates keep
+// 15 endpoints of about 2,000 connections below their limit.
+var (
+	Office = Workload{
+		Name: "office-crew-desk", Endpoints: 15, NewFlowsPerSecond: 1000, LongShare: 0.2,
+		ShortMean: 400 * time.Millisecond, LongMean: 60 * time.Second, PacketInterval: 2 * time.Second,
+	}
+	Trust = Workload{
+		Name: "trust-order-desk", Endpoints: 15, NewFlowsPerSecond: 2000, LongShare: 0.2,
+		ShortMean: 400 * time.Millisecond, LongMean: 10 * time.Second, PacketInterval: time.Second,
+	}
+)
+
+const (
+	// servicePort and idleTimeout are those of the replayed service.
+	servicePort = 80
+	idleTimeout = 5 * time.Minute
+	// firstEndpoint is the number of the first endpoint.
+	firstEndpoint = 101
+)
+
+var serviceAddress = netip.MustParseAddr("203.0.113.10")
+
+// flowRun is one flow under way.
+type flowRun struct {
+	tuple    common.FiveTuple
+	hash     common.FlowHash
+	sequence uint32
+	ends     time.Duration
+	// endpoint serves the flow since its first packet.
+	endpoint common.EndpointID
+	// lost counts packets in a row that reached no endpoint.
+	lost   int
+	failed bool
+}
+
+// step is the next packet of a flow.
+type step struct {
+	at   time.Duration
+	flow *flowRun
+}
+
+type stepQueue []step
+
+func (q stepQueue) Len() int           { return len(q) }
+func (q stepQueue) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q stepQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *stepQueue) Push(x any) { *q = append(*q, x.(step)) }
+
+// Pop implements heap.Interface.
+func (q *stepQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// source makes flows with the workload's arrivals and durations.
+type source struct {
+	workload Workload
+	random   *rand.Rand
+	next     time.Duration
+	count    uint32
+	steps    stepQueue
+}
+
+func newSource(workload Workload, random *rand.Rand) *source {
+	return &source{workload: workload, random: random}
+}
+
+// arrive returns the flow that arrives next.
+func (s *source) arrive() *flowRun {
+	w := &s.workload
+	mean := w.ShortMean
+	if s.random.Float64() < w.LongShare {
+		mean = w.LongMean
+	}
+	s.count++
+	flow := &flowRun{
+		sequence: s.random.Uint32(),
+		ends:     s.next + time.Duration(s.random.ExpFloat64()*float64(mean)),
+	}
+	flow.tuple = common.FiveTuple{
+		Destination:     serviceAddress.As4(),
+		SourcePort:      uint16(1024 + s.count%60000),
+		DestinationPort: servicePort,
+		Protocol:        common.ProtocolTCP,
+	}
+	binary.BigEndian.PutUint32(flow.tuple.Source[:], 0x0A000000+s.count/60000*251+s.random.Uint32N(1<<20)<<2)
+	flow.hash = flow.tuple.Hash()
+	s.next += time.Duration(s.random.ExpFloat64() / w.NewFlowsPerSecond * float64(time.Second))
+	return flow
+}
+
+// schedule queues the next packet of the flow after now.
+func (s *source) schedule(flow *flowRun, now time.Duration) {
+	at := now + time.Duration((0.5+s.random.Float64())*float64(s.workload.PacketInterval))
+	heap.Push(&s.steps, step{at: min(at, max(flow.ends, now+time.Millisecond)), flow: flow})
+}
--- /dev/null
+++ b/experiments/report/report.go
@@ -0,0 +1,119 @@
+// Package report writes the results of experiments as CSV and plots.
+package report
+
+import (
+	"encoding/csv"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"burdockrelay.example/burdockrelay/experiments/replay"
+)
+
+// Row is the result of one run.
+type Row struct {
+	Workload, Scenario, Router string
+	Seed                       uint64
+	Result                     replay.Result
+}
+
+// Summary is the mean and the spread over seeds of one measure.
+type Summary struct {
+	Mean, Deviation, Highest float64
+}
+
+// Summarize returns the summary of the values.
+func Summarize(values []float64) Summary {
+	mean, deviation := stat.MeanStdDev(values, nil)
+	if math.IsNaN(deviation) {
+		deviation = 0
+	}
+	highest := values[0]
+	for _, value := range values {
+		highest = max(highest, value)
+	}
+	return Summary{Mean: mean, Deviation: deviation, Highest: highest}
+}
+
+// WriteCSV writes one line for each run.
+func WriteCSV(path string, rows []Row) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("create %s: %w", path, err)
+	}
+	writer := csv.NewWriter(file)
+	records := [][]string{{
+		"workload", "scenario", "router", "seed", "flows", "broken_flows", "broken_share",
+		"imbalance", "control_bytes_per_second", "peak_control_bytes_per_second",
+	}}
+	for _, row := range rows {
+		r := row.Result
+		records = append(records, []string{
+			row.Workload, row.Scenario, row.Router, strconv.FormatUint(row.Seed, 10),
+			strconv.Itoa(r.Flows), strconv.Itoa(r.Broken), number(r.BrokenShare),
+			number(r.Imbalance), number(r.ControlBytesPerSecond), number(r.PeakControlBytesPerSecond),
+		})
+	}
+	if err := writer.WriteAll(records); err != nil {
+		return fmt.Errorf("write %s: %w", path, err)
+	}
+	return file.Close()
+}
+
+func number(value float64) string {
+	return strconv.FormatFloat(value, 'g', 6, 64)
+}
+
+// Plot draws broken flows against imbalance, one point for each router, the
+// mean over all scenarios and seeds of a workload.
+func Plot(directory, workload string, rows []Row) error {
+	chart := plot.New()
+	chart.Title.Text = workload
+	chart.X.Label.Text = "imbalance (highest load / mean load)"
+	chart.Y.Label.Text = "broken flows per million"
+	points := plotter.XYLabels{}
+	for _, name := range routers(rows) {
+		var broken, imbalance []float64
+		for _, row := range rows {
+			if row.Workload == workload && row.Router == name {
+				broken = append(broken, row.Result.BrokenShare*1e6)
+				imbalance = append(imbalance, row.Result.Imbalance)
+			}
+		}
+		points.XYs = append(points.XYs, plotter.XY{X: Summarize(imbalance).Mean, Y: Summarize(broken).Mean})
+		points.Labels = append(points.Labels, name)
+	}
+	scatter, err := plotter.NewScatter(points.XYs)
+	if err != nil {
+		return fmt.Errorf("plot %s: %w", workload, err)
+	}
+	labels, err := plotter.NewLabels(points)
+	if err != nil {
+		return fmt.Errorf("plot %s: %w", workload, err)
+	}
+	chart.Add(plotter.NewGrid(), scatter, labels)
+	path := filepath.Join(directory, workload+".png")
+	if err := chart.Save(16*vg.Centimeter, 12*vg.Centimeter, path); err != nil {
+		return fmt.Errorf("save %s: %w", path, err)
+	}
+	return nil
+}
+
+func routers(rows []Row) []string {
+	var names []string
+	seen := make(map[string]bool)
+	for _, row := range rows {
+		if !seen[row.Router] {
+			seen[row.Router] = true
+			names = append(names, row.Router)
+		}
+	}
+	return names
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs vet and all tests of both modules with the race detector. Tests listed
+# Runs vet and all tests of all modules with the race detector. Tests listed
 # in KNOWN-RED.txt ("test: NAME" lines) are printed and passed over; nothing
 # else is.
 set -euo pipefail
@@ -15,10 +15,10 @@
   fi
 fi
 
-# The race detector is left out of the nested module: its user-space TCP/IP
-# stack is third-party code that slows down about tenfold under it.
+# The race detector is left out of the nested modules: the user-space TCP/IP
+# stack slows down about tenfold under it, and the experiments share no state.
 go vet ./...
 go test -race "${skip[@]}" ./...
-cd standins
-go vet ./...
-go test "${skip[@]}" ./...
+for module in standins experiments; do
+  (cd "$module" && go vet ./... && go test "${skip[@]}" ./...)
+done
