--- a/experiments/replay/run.go
+++ b/experiments/replay/run.go
@@ -109,11 +109,11 @@
 		if len(r.source.steps) > 0 {
 			now = min(now, r.source.steps[0].at)
 		}
-		switch {
-		case now == nextTick:
+		switch now {
+		case nextTick:
 			nextTick += TickInterval
 			r.tick(now)
-		case now == r.source.next:
+		case r.source.next:
 			r.start(now)
 		default:
 			r.advance(now)
