--- a/standins/endtoend_test.go
+++ b/standins/endtoend_test.go
@@ -186,3 +186,149 @@
 		}
 	}
 }
+
+// startEndpoint starts another endpoint of the same service.
+func (p *path) startEndpoint(t *testing.T, name string) *endpoint.Endpoint {
+	t.Helper()
+	started, err := endpoint.Start(p.tomb, endpoint.Settings{
+		Name:     name,
+		Services: []netip.AddrPort{service},
+		Tunnel:   netip.MustParseAddrPort(anyLoopback),
+		Return:   p.fabric.ReturnAddress(),
+		Health:   anyLoopback,
+		Slots:    32,
+		Status:   endpoint.StatusUp,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return started
+}
+
+// moveTo sends all packets to another endpoint, as a faulty load balancer does.
+func (p *path) moveTo(to *endpoint.Endpoint) error {
+	base := fmt.Sprintf("http://%s/control/entries/", p.fabric.ControlAddress)
+	if err := control(http.MethodDelete, base+p.endpoint.TunnelAddress().String(), "", nil); err != nil {
+		return err
+	}
+	return control(http.MethodPut, base+to.TunnelAddress().String(), "", nil)
+}
+
+// TestCallerSeesMovedFlows guards against a caller that misses flows that are
+// reset because their packets reach another endpoint.
+func TestCallerSeesMovedFlows(t *testing.T) {
+	p := startPath(t, 3)
+	other := p.startEndpoint(t, "endpoint-2")
+	moved := make(chan error, 1)
+	time.AfterFunc(time.Second, func() { moved <- p.moveTo(other) })
+	summary := p.run(t, func(s *caller.Settings) {
+		s.DownloadRate = 300_000
+		s.Reports = netip.AddrPort{}
+	})
+	if err := <-moved; err != nil {
+		t.Fatal(err)
+	}
+	// Each of the 4 callers had a download under way when the packets moved.
+	if summary.BrokenFlowsByReason["reset"] < 4 {
+		t.Errorf("broken flows %v, want at least 4 resets", summary.BrokenFlowsByReason)
+	}
+	if flows := summary.FlowsPerEndpoint[service.String()]; flows["endpoint-1"] == 0 || flows["endpoint-2"] == 0 {
+		t.Errorf("flows per endpoint %v", flows)
+	}
+	if summary.WrongAnswers != 0 || summary.CrossedAnswers != 0 {
+		t.Errorf("%d wrong and %d crossed answers", summary.WrongAnswers, summary.CrossedAnswers)
+	}
+}
+
+// TestCallerSeesSilentLoss guards against a caller that waits without end, or
+// counts a request as not run, when packets are no longer delivered.
+func TestCallerSeesSilentLoss(t *testing.T) {
+	p := startPath(t, 4)
+	remove := make(chan error, 1)
+	time.AfterFunc(time.Second, func() {
+		remove <- control(http.MethodDelete,
+			fmt.Sprintf("http://%s/control/entries/%s", p.fabric.ControlAddress, p.endpoint.TunnelAddress()), "", nil)
+	})
+	summary := p.run(t, func(s *caller.Settings) {
+		s.DownloadRate = 300_000
+		s.RequestsPerFlow = 0
+		s.Stall = time.Second
+		s.Grace = 3 * time.Second
+	})
+	if err := <-remove; err != nil {
+		t.Fatal(err)
+	}
+	if summary.BrokenFlowsByReason["stalled"] < 4 {
+		t.Errorf("broken flows %v, want at least 4 stalled", summary.BrokenFlowsByReason)
+	}
+	if summary.ReportsUnknown == 0 || summary.Verified.RefusedButRun != 0 || summary.Verified.AnsweredButNotRun != 0 {
+		t.Errorf("%d unknown reports, %+v", summary.ReportsUnknown, summary.Verified)
+	}
+}
+
+// TestCallerSeesRepeatedReports guards against a comparison that misses a
+// report that two endpoints ran.
+func TestCallerSeesRepeatedReports(t *testing.T) {
+	p := startPath(t, 5)
+	other := p.startEndpoint(t, "endpoint-2")
+	first := netip.MustParseAddrPort(p.endpoint.HealthAddress.String())
+	second := netip.MustParseAddrPort(other.HealthAddress.String())
+	change := func(s *caller.Settings) {
+		s.Drawings, s.Boards = netip.AddrPort{}, netip.AddrPort{}
+		s.Duration = 300 * time.Millisecond
+		s.Endpoints = []netip.AddrPort{first, second}
+	}
+	once := p.run(t, change)
+	if err := p.moveTo(other); err != nil {
+		t.Fatal(err)
+	}
+	// The same seed gives the same identifiers.
+	twice := p.run(t, change)
+	if once.Verified.ReportsRunTwice != 0 || once.ReportsOK == 0 {
+		t.Errorf("first run: %+v", once.Verified)
+	}
+	if twice.Verified.ReportsRunTwice == 0 {
+		t.Errorf("second run: %+v", twice.Verified)
+	}
+}
+
+// TestEndpointControl guards against a health report that ignores the control
+// interface, and against refusals that do not say that nothing was run.
+func TestEndpointControl(t *testing.T) {
+	p := startPath(t, 6)
+	base := "http://" + p.endpoint.HealthAddress.String()
+	if err := control(http.MethodPatch, base+"/control/settings", `{"status": "draining", "false_load": 7}`, nil); err != nil {
+		t.Fatal(err)
+	}
+	var health endpoint.Health
+	if err := control(http.MethodGet, base+"/healthz", "", &health); err != nil {
+		t.Fatal(err)
+	}
+	if want := (endpoint.Health{Status: endpoint.StatusDraining, Load: 7, Slots: 32}); health != want {
+		t.Errorf("health %+v, want %+v", health, want)
+	}
+	if err := control(http.MethodPatch, base+"/control/settings", `{"status": "down", "false_load": null}`, nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := control(http.MethodGet, base+"/healthz", "", &health); err == nil {
+		t.Error("a down endpoint reports success")
+	}
+	if err := control(http.MethodPatch, base+"/control/settings", `{"status": "tired"}`, nil); err == nil {
+		t.Error("an unknown status was accepted")
+	}
+	// Slow requests hold the 32 slots and the queue of 64; more are refused.
+	if err := control(http.MethodPatch, base+"/control/settings", `{"status": "up", "request_delay_ms": 500}`, nil); err != nil {
+		t.Fatal(err)
+	}
+	summary := p.run(t, func(s *caller.Settings) {
+		s.Callers = 120
+		s.Drawings, s.Boards = netip.AddrPort{}, netip.AddrPort{}
+		s.Duration = time.Second
+	})
+	if summary.ReportsRefused == 0 || summary.Verified.RefusedButRun != 0 || summary.Verified.AnsweredButNotRun != 0 {
+		t.Errorf("%d refused reports, %+v", summary.ReportsRefused, summary.Verified)
+	}
+	if summary.ReportsUnknown != 0 || summary.BrokenFlows != 0 {
+		t.Errorf("%d unknown reports, broken flows %v", summary.ReportsUnknown, summary.BrokenFlowsByReason)
+	}
+}
