--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,416 @@
+#!/usr/bin/env bash
+# Runs the whole path as separate processes on loopback addresses: platform,
+# fabric, five entry instances, seven endpoints and a set of callers. While
+# downloads and reports are in flight it drains an endpoint, publishes a second
+# release, restarts one entry instance and kills another. It prints a report and
+# exits with 0 only if every check holds. Needs bash, curl and the programs of
+# "make build".
+set -uo pipefail
+cd "$(dirname "$0")/.."
+
+readonly BIN=$PWD/bin
+readonly RELEASES=$PWD/scripts/demo
+readonly OUT=$PWD/out/demo
+# The run must end within 45 s. Ending the processes takes up to 3 s.
+readonly LIMIT_S=41
+readonly START_MS=$(date +%s%3N)
+
+readonly PLATFORM=127.0.0.1:9000
+readonly FABRIC_INGRESS=127.0.0.1:6081
+readonly FABRIC_RETURN=127.0.0.1:6082
+readonly FABRIC_CONTROL=127.0.0.1:9001
+readonly CALLER_CONTROL=127.0.0.1:9002
+readonly ENTRY_NET=127.0.10
+readonly ENTRIES="1 2 3 4 5"
+readonly RESTARTED=3
+readonly KILLED=2
+readonly DRAWINGS=10.90.0.1:80
+readonly DESK=10.90.0.2:80
+readonly DRAINED=drawing-1
+readonly DRAINED_CONTROL=127.0.20.1:8080
+# Endpoint name, last byte of its address, service and slots.
+readonly ENDPOINTS="
+drawing-1 1 $DRAWINGS 64
+drawing-2 2 $DRAWINGS 64
+drawing-3 3 $DRAWINGS 64
+order-1 11 $DESK 2
+order-2 12 $DESK 2
+order-3 13 $DESK 2
+order-4 14 $DESK 2"
+
+# Bounds of the checks, from docs/design.md sections 1.2 and 1.6.
+readonly MAX_IN_FORCE_MS=16000
+readonly MAX_CONTROL_BYTES=4096
+# A leaving endpoint gets no new flows after this time.
+readonly DRAIN_S=3
+
+declare -A pids=()
+failures=0
+checks=()
+report=()
+
+elapsed_ms() { echo $(($(date +%s%3N) - START_MS)); }
+
+say() { printf '%6d ms  %s\n' "$(elapsed_ms)" "$*"; }
+
+# start NAME PROGRAM ARGUMENT... runs a program in the background.
+start() {
+  local name=$1
+  shift
+  "$@" >>"$OUT/$name.log" 2>&1 &
+  pids[$name]=$!
+}
+
+# stop NAME SIGNAL SECONDS ends a program and waits; it is killed when the time
+# is over.
+stop() {
+  local name=$1 signal=$2 pid=${pids[$1]} tries=$(($3 * 20))
+  kill -s "$signal" "$pid" 2>/dev/null
+  while kill -0 "$pid" 2>/dev/null && ((tries-- > 0)); do sleep 0.05; done
+  if kill -0 "$pid" 2>/dev/null; then
+    check "$name ends within $3 s" false
+    kill -s KILL "$pid" 2>/dev/null
+  fi
+  wait "$pid" 2>/dev/null
+  unset "pids[$name]"
+}
+
+stop_all() {
+  local name tries=40
+  for name in "${!pids[@]}"; do kill -s TERM "${pids[$name]}" 2>/dev/null; done
+  while ((tries-- > 0)) && any_left; do sleep 0.05; done
+  for name in "${!pids[@]}"; do
+    kill -s KILL "${pids[$name]}" 2>/dev/null
+    wait "${pids[$name]}" 2>/dev/null
+    unset "pids[$name]"
+  done
+}
+
+any_left() {
+  local name
+  for name in "${!pids[@]}"; do
+    if kill -0 "${pids[$name]}" 2>/dev/null; then return 0; fi
+  done
+  return 1
+}
+
+trap stop_all EXIT
+trap 'exit 130' INT TERM
+
+# check TEXT COMMAND... records a check, which holds when the command succeeds.
+check() {
+  local text=$1
+  shift
+  if "$@"; then
+    checks+=("ok      $text")
+  else
+    checks+=("FAILED  $text")
+    failures=$((failures + 1))
+  fi
+}
+
+# at_most and the like fail when a figure is missing.
+number() { [[ ${1:-} =~ ^[0-9]+$ ]]; }
+at_most() { number "${1:-}" && (($1 <= $2)); }
+at_least() { number "${1:-}" && (($1 >= $2)); }
+equal() { number "${1:-}" && (($1 == $2)); }
+
+note() { report+=("$(printf '%-36s %s' "$1" "$2")"); }
+
+finish() {
+  stop_all
+  echo
+  echo "Report"
+  if ((${#report[@]} > 0)); then printf '  %s\n' "${report[@]}"; fi
+  echo "Checks"
+  printf '  %s\n' "${checks[@]}"
+  echo
+  if ((failures > 0)); then
+    echo "$failures checks failed after $(elapsed_ms) ms; logs are in out/demo"
+    exit 1
+  fi
+  echo "all ${#checks[@]} checks hold after $(elapsed_ms) ms"
+  exit 0
+}
+
+# poll SECONDS COMMAND... repeats a command until it succeeds or time is over.
+poll() {
+  local until=$(($(elapsed_ms) + $1 * 1000))
+  shift
+  while ! "$@"; do
+    if (($(elapsed_ms) > until || $(elapsed_ms) > LIMIT_S * 1000)); then return 1; fi
+    sleep 0.1
+  done
+}
+
+# must TEXT SECONDS COMMAND... is a check without which the run cannot go on.
+must() {
+  local text=$1 seconds=$2
+  shift 2
+  if poll "$seconds" "$@"; then
+    check "$text" true
+    say "$text"
+    return
+  fi
+  check "$text" false
+  finish
+}
+
+http() { curl --silent --fail --max-time 2 "$@"; }
+
+# control METHOD URL [BODY] calls a control interface.
+control() { http --output "$OUT/answer" --request "$1" ${3:+--data "$3"} "http://$2"; }
+
+# counter URL KEY prints a number of an indented JSON object. Each key of the
+# stand-ins' counters occurs once.
+counter() { http "http://$1" | number_of "$2"; }
+number_of() { sed -nE "s/^ *\"$1\": ([0-9.]+),?\$/\\1/p" | head -n 1; }
+
+# in_section FILE SECTION KEY prints a number of a nested object.
+in_section() { sed -n "/\"$2\": {/,/}/p" "$1" | number_of "$3"; }
+
+# status INSTANCE prints the administration API's status with one flat JSON
+# object a line and without white space.
+status() {
+  http --header 'Content-Type: application/json' --data '{}' \
+    "http://$ENTRY_NET.$1:7090/twirp/burdockrelay.admin.Administration/Status" |
+    tr -d ' \n' | sed 's/[{}]/\n/g'
+}
+
+# own_field INSTANCE FIELD prints a field of the instance's own row.
+own_field() { status "$1" | grep '"self":true' | field "$2"; }
+field() { sed -nE "s/.*\"$1\":\"?([^\",]*)\"?.*/\\1/p" | head -n 1; }
+
+state_seen_by() { status "$1" | grep "\"name\":\"entry-$2\"" | field state; }
+
+# all_serving INSTANCE... holds when each of them sees all of them as serving
+# and none else.
+all_serving() {
+  local observer
+  for observer in "$@"; do
+    (($(status "$observer" | grep '"name":"entry-' | grep -c '"state":"serving"') == $#)) || return 1
+  done
+}
+
+# all_in_force RELEASE INSTANCE... holds when each of them has applied it.
+all_in_force() {
+  local release=$1 instance
+  shift
+  for instance in "$@"; do
+    (($(status "$instance" | field release) + 0 >= release)) || return 1
+  done
+}
+
+ctl() { timeout 12 "$BIN/burdockctl" -settings "$OUT/ctl.yaml" "$@" >>"$OUT/burdockctl.log" 2>&1; }
+
+write_settings() {
+  local i=$1 common
+  common="instance: entry-$i
+data_centre: fukuoka
+group: office
+address: $ENTRY_NET.$i
+entry_port: 6081
+log_level: info"
+  cat >"$OUT/entryd-$i.yaml" <<EOF
+$common
+metrics_listen: $ENTRY_NET.$i:9101
+api_listen: $ENTRY_NET.$i:7081
+fabric_return: $FABRIC_RETURN
+EOF
+  cat >"$OUT/controld-$i.yaml" <<EOF
+$common
+metrics_listen: $ENTRY_NET.$i:9102
+entry_api: $ENTRY_NET.$i:7081
+places: [fukuoka]
+peer_port: 7946
+platform: http://$PLATFORM
+administration:
+  listen: $ENTRY_NET.$i:7090
+EOF
+}
+
+start_entry() {
+  start "entryd-$1" "$BIN/burdock-entryd" -settings "$OUT/entryd-$1.yaml"
+  start "controld-$1" "$BIN/burdock-controld" -settings "$OUT/controld-$1.yaml"
+}
+
+list_instance() {
+  control PUT "$PLATFORM/control/instances/entry-$1" \
+    "{\"address\": \"$ENTRY_NET.$1\", \"dataCentre\": \"fukuoka\", \"group\": \"office\", \"state\": \"$2\"}"
+}
+
+spray() { control "$1" "$FABRIC_CONTROL/control/entries/$ENTRY_NET.$2:6081"; }
+
+start_all() {
+  local i name byte service slots entries=
+  start platform "$BIN/standin-platform" -listen $PLATFORM
+  for i in $ENTRIES; do entries+=${entries:+,}$ENTRY_NET.$i:6081; done
+  start fabric "$BIN/standin-fabric" -ingress $FABRIC_INGRESS -return $FABRIC_RETURN \
+    -control $FABRIC_CONTROL -entries "$entries" -seed 1
+  while read -r name byte service slots; do
+    [ -n "$name" ] || continue
+    start "$name" "$BIN/standin-endpoint" -name "$name" -services "$service" -slots "$slots" \
+      -tunnel "127.0.20.$byte:6081" -health "127.0.20.$byte:8080" -return $FABRIC_RETURN
+  done <<<"$ENDPOINTS"
+  must "platform and fabric answer" 3 answering
+  for i in $ENTRIES; do
+    list_instance "$i" live
+    write_settings "$i"
+    start_entry "$i"
+  done
+  echo "server: http://$ENTRY_NET.1:7090" >"$OUT/ctl.yaml"
+  echo "author: demo" >>"$OUT/ctl.yaml"
+}
+
+answering() {
+  control GET "$PLATFORM/control/counters" && control GET "$FABRIC_CONTROL/control/counters"
+}
+
+start_callers() {
+  local endpoints=
+  while read -r name byte _; do
+    [ -n "$name" ] && endpoints+=${endpoints:+,}127.0.20.$byte:8080
+  done <<<"$ENDPOINTS"
+  start caller "$BIN/standin-caller" -listen 127.0.0.1:6083 -fabric $FABRIC_INGRESS -control $CALLER_CONTROL \
+    -callers 24 -seed 1 -drawings $DRAWINGS -boards $DESK -reports $DESK \
+    -download-size 400000 -download-rate 100000 -requests-per-flow 20 -pause 150ms \
+    -duration 19s -grace 6s -stall 5s -endpoints "$endpoints" -summary "$OUT/summary.json"
+}
+
+# publish RELEASE INSTANCE... publishes and notes the time until the release is
+# in force on each instance.
+publish() {
+  local release=$1 begin
+  shift
+  begin=$(elapsed_ms)
+  check "burdockctl publishes release $release" ctl publish "$RELEASES/release-$release.yaml"
+  must "release $release is in force on $# instances" 16 all_in_force "$release" "$@"
+  local took=$(($(elapsed_ms) - begin))
+  note "time to in force, release $release" "$took ms"
+  check "release $release is in force within $MAX_IN_FORCE_MS ms" at_most $took $MAX_IN_FORCE_MS
+}
+
+drain_endpoint() {
+  drained_load=$(counter $DRAINED_CONTROL/control/counters load)
+  check "downloads are in flight on $DRAINED" at_least "$drained_load" 1
+  check "burdockctl drains $DRAINED" ctl drain $DRAINED
+  say "draining $DRAINED with $drained_load downloads in flight"
+}
+
+# restart_entry stops an instance in the planned order and starts it again.
+restart_entry() {
+  local i=$1
+  say "restarting entry-$i"
+  list_instance "$i" leaving
+  stop "controld-$i" TERM 5
+  spray DELETE "$i"
+  # Packets that the fabric has already sent are still relayed.
+  sleep 0.5
+  stop "entryd-$i" TERM 3
+  list_instance "$i" live
+  start_entry "$i"
+  must "entry-$i serves again" 10 all_serving $ENTRIES
+  spray PUT "$i"
+}
+
+kill_entry() {
+  local i=$1
+  check "flows are open when entry-$i is killed" at_least "$(counter $CALLER_CONTROL/control/summary flows_open)" 1
+  say "killing both daemons of entry-$i"
+  stop "entryd-$i" KILL 1
+  stop "controld-$i" KILL 1
+  # The fabric and the instance list notice later.
+  sleep 1
+  spray DELETE "$i"
+  sleep 1
+  control DELETE "$PLATFORM/control/instances/entry-$i"
+}
+
+survivors() {
+  local i
+  for i in $ENTRIES; do ((i == KILLED)) || echo "$i"; done
+}
+
+caller_ended() { ! kill -0 "${pids[caller]}" 2>/dev/null; }
+
+# read_status notes the control traffic of the daemons and checks the invariants.
+read_status() {
+  local i bytes all= violations=0 worst=0
+  for i in $(survivors); do
+    bytes=$(own_field "$i" control_bytes_per_second)
+    all+="$bytes "
+    if ! number "$bytes" || ((bytes > worst)); then worst=$bytes; fi
+    violations=$((violations + $(status "$i" | field invariant_violations)))
+  done
+  note "control bytes per second per daemon" "$all"
+  check "control traffic is at most $MAX_CONTROL_BYTES bytes per second per daemon" at_most "$worst" $MAX_CONTROL_BYTES
+  check "no invariant was violated" equal "$violations" 0
+}
+
+# read_endpoints checks what the endpoints saw.
+read_endpoints() {
+  local name byte misdelivered=0 options=0 malformed=0 late
+  while read -r name byte _; do
+    [ -n "$name" ] || continue
+    http "http://127.0.20.$byte:8080/control/counters" >"$OUT/$name.json"
+    misdelivered=$((misdelivered + $(number_of misdelivered <"$OUT/$name.json")))
+    options=$((options + $(number_of with_options <"$OUT/$name.json")))
+    malformed=$((malformed + $(number_of malformed <"$OUT/$name.json")))
+  done <<<"$ENDPOINTS"
+  check "no packet reached an endpoint of another service" equal $misdelivered 0
+  check "endpoints got plain Geneve only" equal $((options + malformed)) 0
+  late=$(($(number_of drawings <"$OUT/$DRAINED.json") - drained_drawings))
+  check "$DRAINED got no new downloads $DRAIN_S s after the drain" equal $late 0
+  check "$DRAINED broke no download" equal "$(number_of broken_drawings <"$OUT/$DRAINED.json")" 0
+}
+
+# read_summary checks what the callers saw.
+read_summary() {
+  local file=$OUT/summary.json key
+  note "flows opened" "$(number_of flows_opened <"$file")"
+  note "broken flows" "$(number_of broken_flows <"$file")"
+  note "downloads complete" "$(number_of downloads_complete <"$file")"
+  note "lookups answered" "$(number_of boards_ok <"$file")"
+  note "reports answered, refused, unknown" \
+    "$(number_of reports_ok <"$file"), $(number_of reports_refused <"$file"), $(number_of reports_unknown <"$file")"
+  note "imbalance of flows, drawing store" "$(in_section "$file" imbalance $DRAWINGS) (one of 3 endpoints drained)"
+  note "imbalance of flows, order desk" "$(in_section "$file" imbalance $DESK) (one of 4 endpoints added)"
+  check "downloads completed" at_least "$(number_of downloads_complete <"$file")" 1
+  check "reports were answered" at_least "$(number_of reports_ok <"$file")" 1
+  for key in broken_flows wrong_answers crossed_answers unfinished downloads_failed boards_failed \
+    reports_unknown reports_double_run endpoints_unread reports_run_twice reports_refused_but_run \
+    reports_answered_but_not_run reports_run_but_never_sent; do
+    check "${key//_/ }: 0" equal "$(number_of $key <"$file")" 0
+  done
+}
+
+mkdir -p "$OUT"
+rm -f "$OUT"/*
+for program in burdock-entryd burdock-controld burdockctl standin-platform standin-fabric standin-endpoint standin-caller; do
+  if [ ! -x "$BIN/$program" ]; then
+    echo "bin/$program is missing; run make build" >&2
+    exit 2
+  fi
+done
+
+start_all
+must "all entry instances serve" 12 all_serving $ENTRIES
+publish 1 $ENTRIES
+start_callers
+say "callers started"
+sleep 2.5
+drain_endpoint
+sleep $DRAIN_S
+drained_drawings=$(counter $DRAINED_CONTROL/control/counters drawings)
+publish 2 $ENTRIES
+restart_entry $RESTARTED
+kill_entry $KILLED
+must "the survivors serve without entry-$KILLED" 8 all_serving $(survivors)
+must "the callers end" 30 caller_ended
+wait "${pids[caller]}"
+check "the callers report no failure" equal $? 0
+unset "pids[caller]"
+read_status
+read_endpoints
+read_summary
+finish
--- a/standins/caller/flow.go
+++ b/standins/caller/flow.go
@@ -123,6 +123,7 @@
 	f.recorder.record(func(s *Summary) {
 		s.BrokenFlows++
 		s.BrokenFlowsByReason[reason]++
+		s.BrokenFlowsByService[f.service]++
 	})
 }
 
--- a/standins/caller/summary.go
+++ b/standins/caller/summary.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"maps"
 	"sync"
 )
 
@@ -27,6 +28,8 @@
 	// stopped.
 	BrokenFlows         int            `json:"broken_flows"`
 	BrokenFlowsByReason map[string]int `json:"broken_flows_by_reason"`
+	// BrokenFlowsByService counts them by service address.
+	BrokenFlowsByService map[string]int `json:"broken_flows_by_service"`
 
 	// Unfinished counts requests that were under way when the run ended.
 	Unfinished int `json:"unfinished"`
@@ -90,11 +93,12 @@
 func newRecorder(seed uint64) *recorder {
 	return &recorder{
 		summary: Summary{
-			Seed:                seed,
-			FlowsNotOpened:      make(map[string]int),
-			BrokenFlowsByReason: make(map[string]int),
-			FlowsPerEndpoint:    make(map[string]map[string]int),
-			Imbalance:           make(map[string]float64),
+			Seed:                 seed,
+			FlowsNotOpened:       make(map[string]int),
+			BrokenFlowsByReason:  make(map[string]int),
+			BrokenFlowsByService: make(map[string]int),
+			FlowsPerEndpoint:     make(map[string]map[string]int),
+			Imbalance:            make(map[string]float64),
 		},
 		outcomes: make(map[string]outcome),
 	}
@@ -145,25 +149,18 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	summary := r.summary
-	summary.FlowsNotOpened = cloneCounts(summary.FlowsNotOpened)
-	summary.BrokenFlowsByReason = cloneCounts(summary.BrokenFlowsByReason)
+	summary.FlowsNotOpened = maps.Clone(summary.FlowsNotOpened)
+	summary.BrokenFlowsByReason = maps.Clone(summary.BrokenFlowsByReason)
+	summary.BrokenFlowsByService = maps.Clone(summary.BrokenFlowsByService)
 	summary.FlowsPerEndpoint = make(map[string]map[string]int)
 	summary.Imbalance = make(map[string]float64)
 	for service, perEndpoint := range r.summary.FlowsPerEndpoint {
-		summary.FlowsPerEndpoint[service] = cloneCounts(perEndpoint)
+		summary.FlowsPerEndpoint[service] = maps.Clone(perEndpoint)
 		summary.Imbalance[service] = imbalance(perEndpoint)
 	}
 	return summary
 }
 
-func cloneCounts(counts map[string]int) map[string]int {
-	clone := make(map[string]int, len(counts))
-	for key, count := range counts {
-		clone[key] = count
-	}
-	return clone
-}
-
 func imbalance(perEndpoint map[string]int) float64 {
 	highest, sum := 0, 0
 	for _, count := range perEndpoint {
