--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -73,10 +73,11 @@
   fi
   wait "$pid" 2>/dev/null
   unset "pids[$name]"
-}
+  # Hides the shell's own message about a killed job.
+} 2>/dev/null
 
 stop_all() {
-  local name tries=40
+  local name tries=60
   for name in "${!pids[@]}"; do kill -s TERM "${pids[$name]}" 2>/dev/null; done
   while ((tries-- > 0)) && any_left; do sleep 0.05; done
   for name in "${!pids[@]}"; do
@@ -84,7 +85,7 @@
     wait "${pids[$name]}" 2>/dev/null
     unset "pids[$name]"
   done
-}
+} 2>/dev/null
 
 any_left() {
   local name
@@ -94,6 +95,15 @@
   return 1
 }
 
+# all_run holds when every started program still runs. One ends at once when its
+# address is taken, as by another run of the demo.
+all_run() {
+  local name
+  for name in "${!pids[@]}"; do
+    kill -0 "${pids[$name]}" 2>/dev/null || return 1
+  done
+}
+
 trap stop_all EXIT
 trap 'exit 130' INT TERM
 
@@ -181,8 +191,31 @@
 own_field() { status "$1" | grep '"self":true' | field "$2"; }
 field() { sed -nE "s/.*\"$1\":\"?([^\",]*)\"?.*/\\1/p" | head -n 1; }
 
+# lost OBSERVER INSTANCE holds when the observer no longer counts on the instance.
+lost() {
+  local state
+  state=$(state_seen_by "$1" "$2")
+  [ -z "$state" ] || [ "$state" = dead ] || [ "$state" = unanswered ]
+}
+
+# survive holds when the survivors serve and have all given up the killed one.
+survive() {
+  local observer
+  all_serving $(survivors) || return 1
+  for observer in $(survivors); do lost "$observer" $KILLED || return 1; done
+}
+
 state_seen_by() { status "$1" | grep "\"name\":\"entry-$2\"" | field state; }
 
+# all_known INSTANCE... holds when each of them sees all of them as alive. Before
+# the first release they join and do not serve.
+all_known() {
+  local observer
+  for observer in "$@"; do
+    (($(status "$observer" | grep '"name":"entry-' | grep -cE '"state":"(joining|serving)"') == $#)) || return 1
+  done
+}
+
 # all_serving INSTANCE... holds when each of them sees all of them as serving
 # and none else.
 all_serving() {
@@ -263,7 +296,7 @@
 }
 
 answering() {
-  control GET "$PLATFORM/control/counters" && control GET "$FABRIC_CONTROL/control/counters"
+  all_run && control GET "$PLATFORM/control/counters" && control GET "$FABRIC_CONTROL/control/counters"
 }
 
 start_callers() {
@@ -317,6 +350,7 @@
   local i=$1
   check "flows are open when entry-$i is killed" at_least "$(counter $CALLER_CONTROL/control/summary flows_open)" 1
   say "killing both daemons of entry-$i"
+  killed_ms=$(elapsed_ms)
   stop "entryd-$i" KILL 1
   stop "controld-$i" KILL 1
   # The fabric and the instance list notice later.
@@ -373,8 +407,8 @@
   note "lookups answered" "$(number_of boards_ok <"$file")"
   note "reports answered, refused, unknown" \
     "$(number_of reports_ok <"$file"), $(number_of reports_refused <"$file"), $(number_of reports_unknown <"$file")"
-  note "imbalance of flows, drawing store" "$(in_section "$file" imbalance $DRAWINGS) (one of 3 endpoints drained)"
-  note "imbalance of flows, order desk" "$(in_section "$file" imbalance $DESK) (one of 4 endpoints added)"
+  note "imbalance of flows, drawing store" "$(printf %.2f "$(in_section "$file" imbalance $DRAWINGS)") (one of 3 endpoints drained)"
+  note "imbalance of flows, order desk" "$(printf %.2f "$(in_section "$file" imbalance $DESK)") (one of 4 endpoints added)"
   check "downloads completed" at_least "$(number_of downloads_complete <"$file")" 1
   check "reports were answered" at_least "$(number_of reports_ok <"$file")" 1
   for key in broken_flows wrong_answers crossed_answers unfinished downloads_failed boards_failed \
@@ -394,8 +428,10 @@
 done
 
 start_all
-must "all entry instances serve" 12 all_serving $ENTRIES
+must "all entry instances know each other" 10 all_known $ENTRIES
+must "every program runs" 1 all_run
 publish 1 $ENTRIES
+must "all entry instances serve" 10 all_serving $ENTRIES
 start_callers
 say "callers started"
 sleep 2.5
@@ -405,7 +441,8 @@
 publish 2 $ENTRIES
 restart_entry $RESTARTED
 kill_entry $KILLED
-must "the survivors serve without entry-$KILLED" 8 all_serving $(survivors)
+must "the survivors serve without entry-$KILLED" 8 survive
+note "time until entry-$KILLED is given up" "$(($(elapsed_ms) - killed_ms)) ms"
 must "the callers end" 30 caller_ended
 wait "${pids[caller]}"
 check "the callers report no failure" equal $? 0
