--- a/standins/tunnel/geneve.go
+++ b/standins/tunnel/geneve.go
@@ -19,12 +19,16 @@
 	minIPv4Header     = 20
 	sourceOffset      = 12
 	destinationOffset = 16
+	// maxOptions is the longest header that gopacket 1.7.7 decodes rightly: its
+	// offset is one byte wide and counts the 8 bytes of the fixed header.
+	maxOptions = 255 - 8
 )
 
 // Decode errors.
 var (
 	ErrProtocol = errors.New("tunnel: Geneve protocol type is not 0x0800")
 	ErrVersion  = errors.New("tunnel: unknown Geneve version")
+	ErrOptions  = errors.New("tunnel: options are too long")
 	ErrCritical = errors.New("tunnel: unknown critical option")
 	ErrInner    = errors.New("tunnel: inner packet is not a whole IPv4 header")
 )
@@ -79,6 +83,9 @@
 	if err := d.geneve.DecodeFromBytes(datagram, gopacket.NilDecodeFeedback); err != nil {
 		return Inner{}, err
 	}
+	if d.geneve.OptionsLength > maxOptions {
+		return Inner{}, ErrOptions
+	}
 	if d.geneve.Version != 0 {
 		return Inner{}, ErrVersion
 	}
--- a/standins/tunnel/geneve_test.go
+++ b/standins/tunnel/geneve_test.go
@@ -50,6 +50,7 @@
 		{name: "version", datagram: join(with(0, 0x40), innerPacket()), err: ErrVersion, fails: true},
 		{name: "critical", datagram: join(with(1, 0x40), innerPacket()), err: ErrCritical, fails: true},
 		{name: "protocol", datagram: join(with(2, 0x65), innerPacket()), err: ErrProtocol, fails: true},
+		{name: "long options", datagram: join(with(0, 62), bytes.Repeat(option, 31), innerPacket()), err: ErrOptions, fails: true},
 		{name: "short header", datagram: header[:7], fails: true},
 		{name: "short options", datagram: join(with(0, 2), option[:4]), fails: true},
 		{name: "short inner", datagram: join(header, innerPacket()[:19]), err: ErrInner, fails: true},
