--- /dev/null
+++ b/internal/packet/geneve.go
@@ -0,0 +1,179 @@
+package packet
+
+import (
+	"encoding/binary"
+	"errors"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+
+	"burdockrelay.example/burdockrelay/common"
+)
+
+const (
+	// GenevePort is the UDP port that IANA assigns to Geneve.
+	GenevePort = 6081
+	// HeaderLength is the length in bytes of a Geneve header without options.
+	HeaderLength = 8
+	// RelayHeaderLength is the length in bytes of a Geneve header with the
+	// relay option. Buffers with this much room in front of a packet take any
+	// header of ours without a copy of the packet.
+	RelayHeaderLength = HeaderLength + optionHeaderLength + relayDataLength
+
+	optionHeaderLength = 4
+	relayDataLength    = 12
+
+	// relayOptionClass is in the range for experimental use (RFC 8926,
+	// section 6.2).
+	relayOptionClass = 0xFF42
+	relayOptionType  = 1
+
+	// criticalOptionType marks the option types that a receiver must not skip.
+	criticalOptionType = 0x80
+
+	flagOAM      = 0x80
+	flagCritical = 0x40
+	// maxHopCount is the highest hop count of the relay option: a packet is
+	// relayed once at most.
+	maxHopCount = 1
+)
+
+var (
+	errGeneveTruncated   = errors.New("geneve header exceeds the packet")
+	errGeneveOptions     = errors.New("geneve option exceeds the options")
+	errGeneveRelayOption = errors.New("geneve relay option has wrong contents")
+)
+
+// Relay is the contents of the relay option.
+type Relay struct {
+	HopCount uint8
+	Flags    uint8
+	// Sender is the instance that relayed the packet.
+	Sender common.InstanceID
+	// View is the hash of the sender's membership view.
+	View uint32
+}
+
+// Geneve is a gopacket decoding layer for the Geneve header and the relay
+// option. layers.Geneve is not used because it allocates each option and keeps
+// its offset in 8 bits, which overflows with more than 247 bytes of options.
+type Geneve struct {
+	layers.BaseLayer
+	Version  uint8
+	OAM      bool
+	Critical bool
+	Protocol layers.EthernetType
+	Relay    Relay
+	HasRelay bool
+	// unknownCritical is set by a critical option other than the relay option.
+	unknownCritical bool
+}
+
+var _ gopacket.DecodingLayer = (*Geneve)(nil)
+
+// LayerType implements gopacket.DecodingLayer.
+func (g *Geneve) LayerType() gopacket.LayerType {
+	return layers.LayerTypeGeneve
+}
+
+// CanDecode implements gopacket.DecodingLayer.
+func (g *Geneve) CanDecode() gopacket.LayerClass {
+	return layers.LayerTypeGeneve
+}
+
+// NextLayerType implements gopacket.DecodingLayer.
+func (g *Geneve) NextLayerType() gopacket.LayerType {
+	return g.Protocol.LayerType()
+}
+
+// DecodeFromBytes implements gopacket.DecodingLayer.
+func (g *Geneve) DecodeFromBytes(data []byte, feedback gopacket.DecodeFeedback) error {
+	*g = Geneve{}
+	if len(data) < HeaderLength {
+		feedback.SetTruncated()
+		return errGeneveTruncated
+	}
+	end := HeaderLength + int(data[0]&0x3f)*4
+	if len(data) < end {
+		feedback.SetTruncated()
+		return errGeneveTruncated
+	}
+	g.Version = data[0] >> 6
+	g.OAM = data[1]&flagOAM != 0
+	g.Critical = data[1]&flagCritical != 0
+	g.Protocol = layers.EthernetType(binary.BigEndian.Uint16(data[2:4]))
+	g.Contents = data[:end]
+	g.Payload = data[end:]
+	return g.decodeOptions(data[HeaderLength:end])
+}
+
+func (g *Geneve) decodeOptions(options []byte) error {
+	for len(options) > 0 {
+		if len(options) < optionHeaderLength {
+			return errGeneveOptions
+		}
+		length := optionHeaderLength + int(options[3]&0x1f)*4
+		if length > len(options) {
+			return errGeneveOptions
+		}
+		if err := g.decodeOption(options[:length]); err != nil {
+			return err
+		}
+		options = options[length:]
+	}
+	return nil
+}
+
+func (g *Geneve) decodeOption(option []byte) error {
+	class := binary.BigEndian.Uint16(option[0:2])
+	if class != relayOptionClass || option[2] != relayOptionType {
+		g.unknownCritical = g.unknownCritical || option[2]&criticalOptionType != 0
+		return nil
+	}
+	if g.HasRelay || len(option) != optionHeaderLength+relayDataLength {
+		return errGeneveRelayOption
+	}
+	g.HasRelay = true
+	g.Relay.HopCount = option[4]
+	g.Relay.Flags = option[5]
+	g.Relay.Sender = common.InstanceID(binary.BigEndian.Uint32(option[8:12]))
+	g.Relay.View = binary.BigEndian.Uint32(option[12:16])
+	if g.Relay.HopCount > maxHopCount {
+		return errGeneveRelayOption
+	}
+	return nil
+}
+
+// supported reports whether the packet is data for us. RFC 8926 requires that
+// other versions and unknown critical options are dropped, and that control
+// (OAM) packets are not forwarded.
+func (g *Geneve) supported() bool {
+	return g.Version == 0 && !g.OAM && !g.unknownCritical && g.Protocol == layers.EthernetTypeIPv4
+}
+
+// PutHeader writes a Geneve header without options into the first HeaderLength
+// bytes of b.
+func PutHeader(b []byte) {
+	_ = b[HeaderLength-1]
+	b[0] = 0
+	b[1] = 0
+	binary.BigEndian.PutUint16(b[2:4], uint16(layers.EthernetTypeIPv4))
+	binary.BigEndian.PutUint32(b[4:8], 0)
+}
+
+// PutRelayHeader writes a Geneve header with the relay option into the first
+// RelayHeaderLength bytes of b.
+func PutRelayHeader(b []byte, relay Relay) {
+	_ = b[RelayHeaderLength-1]
+	PutHeader(b)
+	b[0] = (optionHeaderLength + relayDataLength) / 4
+	binary.BigEndian.PutUint16(b[8:10], relayOptionClass)
+	b[10] = relayOptionType
+	b[11] = relayDataLength / 4
+	b[12] = relay.HopCount
+	b[13] = relay.Flags
+	b[14] = 0
+	b[15] = 0
+	binary.BigEndian.PutUint32(b[16:20], uint32(relay.Sender))
+	binary.BigEndian.PutUint32(b[20:24], relay.View)
+}
