--- a/binaries/burdock-entryd/main.go
+++ b/binaries/burdock-entryd/main.go
@@ -1,4 +1,126 @@
-// Command burdock-entryd is not complete yet.
+// Command burdock-entryd is the packet path of an entry instance: it matches
+// packets to services, finds the endpoint of each flow and forwards or relays.
 package main
 
-func main() {}
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdockrelay.example/burdockrelay/internal/entry"
+	"burdockrelay.example/burdockrelay/internal/observe"
+)
+
+const program = "burdock-entryd"
+
+// Exit codes, as those of burdockctl.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+	exitFaults = 3
+)
+
+const (
+	// stopQuiet is how long no packet may arrive before a graceful stop ends.
+	// It is above the 500 ms between two probes of a peer, so that peers have
+	// learned that the instance leaves.
+	stopQuiet = 2 * time.Second
+	// stopDeadline bounds a graceful stop when the fabric goes on sending.
+	stopDeadline = 30 * time.Second
+	// flushTimeout bounds the sending of buffered spans.
+	flushTimeout = 2 * time.Second
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	path := flag.String("settings", "/etc/burdockrelay/entryd.yaml", "settings `file`")
+	check := flag.Bool("check-settings", false, "check the settings and exit")
+	version := flag.Bool("version", false, "print the version and exit")
+	flag.Parse()
+	if flag.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "%s: unexpected argument %q\n", program, flag.Arg(0))
+		return exitUsage
+	}
+	if *version {
+		fmt.Println(program, buildVersion())
+		return exitDone
+	}
+	settings, err := loadSettings(*path)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
+		return exitFaults
+	}
+	if *check {
+		fmt.Println(*path, "has no faults")
+		return exitDone
+	}
+	if err := serve(settings); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
+		return exitFailed
+	}
+	return exitDone
+}
+
+func buildVersion() string {
+	info, found := debug.ReadBuildInfo()
+	if !found {
+		return "unknown"
+	}
+	return info.Main.Version
+}
+
+// serve runs until a signal or a fault ends it.
+func serve(settings *settingsFile) error {
+	logger, err := observe.NewLogger(os.Stderr, settings.LogLevel, program)
+	if err != nil {
+		return err
+	}
+	tracer, err := observe.NewTracer(context.Background(), settings.Trace, program)
+	if err != nil {
+		return err
+	}
+	defer flushTraces(tracer, logger)
+	server, err := entry.NewServer(settings.packetPath(), logger, observe.NewRegistry(), tracer)
+	if err != nil {
+		return err
+	}
+	server.Start()
+	logger.Info("started", zap.Stringer("packets", server.PacketAddress()),
+		zap.String("api", server.APIAddress()), zap.String("instance", settings.Instance))
+	return wait(server, logger)
+}
+
+func wait(server *entry.Server, logger *zap.Logger) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-server.Dead():
+		return server.Stop()
+	case received := <-signals:
+		logger.Info("stopping", zap.Stringer("signal", received), zap.Duration("deadline", stopDeadline))
+		// A second signal ends the program at once.
+		signal.Stop(signals)
+	}
+	quiet, err := server.StopWhenQuiet(stopQuiet, stopDeadline)
+	logger.Info("stopped", zap.Bool("quiet", quiet), zap.Error(err))
+	return err
+}
+
+func flushTraces(tracer *observe.Tracer, logger *zap.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	if err := tracer.Shutdown(ctx); err != nil {
+		logger.Warn("traces_lost", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,337 @@
+// Package entry is the packet path of burdock-entryd: sockets, the filter
+// chain, the shards of flow state and the Entry service for controld.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+	tomb "gopkg.in/tomb.v2"
+
+	"burdockrelay.example/burdockrelay/internal/decision/flow"
+	"burdockrelay.example/burdockrelay/internal/decision/lease"
+	"burdockrelay.example/burdockrelay/internal/observe"
+	"burdockrelay.example/burdockrelay/proto/entrypb"
+)
+
+const (
+	// defaultWorkers bounds the workers unless Options says otherwise: one
+	// worker forwards more than an instance of the target scale receives.
+	defaultWorkers = 4
+	// expireInterval and expireEntries let the sweep pass 400,000 entries in
+	// about 5 s.
+	expireInterval = 100 * time.Millisecond
+	expireEntries  = 128
+	// requestBytes bounds a request of controld: a snapshot of the target
+	// scale is below 1 MB, pulled exceptions of 16 shards of flows below 8 MB.
+	requestBytes = 32 << 20
+	// requestTimeout bounds the reading of a request.
+	requestTimeout = 10 * time.Second
+	// closeTimeout bounds the wait for requests under way at the end.
+	closeTimeout = time.Second
+)
+
+// Settings are what the packet path needs from the settings file.
+type Settings struct {
+	// Instance is the name of this instance.
+	Instance string
+	// Listen is the address for packets.
+	Listen netip.AddrPort
+	// APIListen is the loopback address of the Entry service.
+	APIListen string
+	// MetricsListen is the address of the metrics, empty for none.
+	MetricsListen string
+	// FabricReturn takes refusal resets; without it they are withheld.
+	FabricReturn netip.AddrPort
+	// MaxFlows is the capacity of the flow table.
+	MaxFlows int
+	// SampleRatio is the share of flows whose first packet is traced.
+	SampleRatio float64
+	// Workers is the number of sockets and reader goroutines; 0 chooses it
+	// from the number of processors.
+	Workers int
+}
+
+// Server is one running packet path.
+type Server struct {
+	settings     Settings
+	fabricReturn netip.AddrPort
+	logger       *zap.Logger
+	registry     *prometheus.Registry
+	metrics      *metrics
+	tracing      *tracing
+	tomb         tomb.Tomb
+	started      time.Time
+
+	state  atomic.Pointer[state]
+	shards [flow.Shards]shard
+	// applyLock makes snapshots take effect one after the other.
+	applyLock sync.Mutex
+
+	leaseLock sync.Mutex
+	lease     lease.Lease
+
+	receivers []net.PacketConn
+	senders   []net.PacketConn
+	workers   []*worker
+	api       net.Listener
+	metricsIn net.Listener
+}
+
+// NewServer opens the sockets. Start begins to serve them.
+func NewServer(settings Settings, logger *zap.Logger, registry *prometheus.Registry, tracer trace.Tracer) (*Server, error) {
+	if settings.MaxFlows < flow.Shards {
+		return nil, fmt.Errorf("max_flows is %d, at least %d are needed", settings.MaxFlows, flow.Shards)
+	}
+	s := &Server{
+		settings:     settings,
+		fabricReturn: settings.FabricReturn,
+		logger:       logger,
+		registry:     registry,
+		metrics:      newMetrics(registry),
+		tracing:      newTracing(tracer, settings.SampleRatio, settings.Instance),
+		started:      time.Now(),
+	}
+	for i := range s.shards {
+		s.shards[i].flows = flow.NewShard(i, flow.Limits{MaxFlows: settings.MaxFlows / flow.Shards})
+	}
+	if err := s.open(); err != nil {
+		s.closePacketSockets()
+		s.closeListeners()
+		return nil, err
+	}
+	registry.MustRegister(&collector{server: s})
+	return s, nil
+}
+
+func (s *Server) open() error {
+	count := s.settings.Workers
+	if count == 0 {
+		count = min(runtime.GOMAXPROCS(0), defaultWorkers)
+	}
+	var err error
+	if s.receivers, err = listenAll(s.settings.Listen, count); err != nil {
+		return err
+	}
+	if s.senders, err = openSenders(s.settings.Listen.Addr(), count); err != nil {
+		return err
+	}
+	for i := range s.receivers {
+		s.workers = append(s.workers, newWorker(s, s.receivers[i], s.senders[i]))
+	}
+	if s.api, err = listenLoopback(s.settings.APIListen); err != nil {
+		return err
+	}
+	if s.settings.MetricsListen == "" {
+		return nil
+	}
+	if s.metricsIn, err = net.Listen("tcp", s.settings.MetricsListen); err != nil {
+		return fmt.Errorf("listen for metrics: %w", err)
+	}
+	return nil
+}
+
+// listenLoopback refuses other addresses, because the Entry service has no
+// authentication.
+func listenLoopback(address string) (net.Listener, error) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("address of the Entry service: %w", err)
+	}
+	if !parsed.Addr().IsLoopback() {
+		return nil, fmt.Errorf("address of the Entry service: %s is not a loopback address", address)
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for the Entry service: %w", err)
+	}
+	return listener, nil
+}
+
+// PacketAddress returns the address that receives packets.
+func (s *Server) PacketAddress() netip.AddrPort {
+	return s.receivers[0].LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// APIAddress returns the address of the Entry service.
+func (s *Server) APIAddress() string {
+	return s.api.Addr().String()
+}
+
+// Start begins to handle packets and requests.
+func (s *Server) Start() {
+	for _, w := range s.workers {
+		s.tomb.Go(w.run)
+	}
+	s.tomb.Go(s.expire)
+	s.tomb.Go(s.closeWhenDying)
+	s.serve(s.api, http.MaxBytesHandler(entrypb.NewEntryServer(&service{server: s}), requestBytes))
+	if s.metricsIn != nil {
+		s.serve(s.metricsIn, observe.MetricsHandler(s.registry))
+	}
+}
+
+func (s *Server) serve(listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ReadTimeout: requestTimeout}
+	s.tomb.Go(func() error {
+		if err := server.Serve(listener); s.tomb.Alive() {
+			return fmt.Errorf("serve %s: %w", listener.Addr(), err)
+		}
+		return nil
+	})
+	s.tomb.Go(func() error {
+		<-s.tomb.Dying()
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		return server.Shutdown(ctx)
+	})
+}
+
+func (s *Server) closeWhenDying() error {
+	<-s.tomb.Dying()
+	s.closePacketSockets()
+	return nil
+}
+
+func (s *Server) closePacketSockets() {
+	closeAll(s.receivers)
+	closeAll(s.senders)
+}
+
+// closeListeners is for a server that does not start; otherwise the HTTP
+// servers close them.
+func (s *Server) closeListeners() {
+	for _, listener := range []net.Listener{s.api, s.metricsIn} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+// expire ends idle flows.
+func (s *Server) expire() error {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.tomb.Dying():
+			return nil
+		case <-ticker.C:
+			s.expireOnce()
+		}
+	}
+}
+
+func (s *Server) expireOnce() {
+	now := s.now()
+	for i := range s.shards {
+		s.shards[i].mu.Lock()
+		s.shards[i].flows.Expire(now, expireEntries)
+		s.shards[i].mu.Unlock()
+	}
+}
+
+// Dead is closed when the server has ended.
+func (s *Server) Dead() <-chan struct{} {
+	return s.tomb.Dead()
+}
+
+// Stop ends the server at once and returns the error that ended it, if any.
+func (s *Server) Stop() error {
+	s.tomb.Kill(nil)
+	return s.tomb.Wait()
+}
+
+// StopWhenQuiet handles packets until none has arrived for the quiet time, so
+// that peers and the fabric no longer send to this instance, or until the
+// deadline. It reports whether the instance became quiet.
+func (s *Server) StopWhenQuiet(quiet, deadline time.Duration) (bool, error) {
+	begin := s.now()
+	ticker := time.NewTicker(min(quiet, deadline) / 10)
+	defer ticker.Stop()
+	for {
+		now := s.now()
+		if now-max(begin, s.lastReceived()) >= quiet {
+			return true, s.Stop()
+		}
+		if now-begin >= deadline {
+			return false, s.Stop()
+		}
+		select {
+		case <-s.tomb.Dying():
+			return false, s.Stop()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) lastReceived() time.Duration {
+	var last time.Duration
+	for _, w := range s.workers {
+		last = max(last, time.Duration(w.traffic.lastReceived.Load()))
+	}
+	return last
+}
+
+// now returns the monotonic time since the server was made.
+func (s *Server) now() time.Duration {
+	return s.since(time.Now())
+}
+
+func (s *Server) since(t time.Time) time.Duration {
+	return t.Sub(s.started)
+}
+
+func (s *Server) leaseValid(now time.Duration) bool {
+	s.leaseLock.Lock()
+	defer s.leaseLock.Unlock()
+	return s.lease.Valid(now)
+}
+
+func (s *Server) fenced() bool {
+	return !s.leaseValid(s.now())
+}
+
+func (s *Server) release() uint64 {
+	if current := s.state.Load(); current != nil {
+		return current.snapshot.Release
+	}
+	return 0
+}
+
+// flowStats returns the sum over all shards.
+func (s *Server) flowStats() flow.Stats {
+	var sum flow.Stats
+	for i := range s.shards {
+		s.shards[i].mu.Lock()
+		part := s.shards[i].flows.Stats()
+		s.shards[i].mu.Unlock()
+		sum.OpenFlows += part.OpenFlows
+		sum.MaxFlows += part.MaxFlows
+		sum.ExceptionsOwned += part.ExceptionsOwned
+		sum.ExceptionsHeld += part.ExceptionsHeld
+		sum.FlowsOpened += part.FlowsOpened
+		sum.FlowsRefused += part.FlowsRefused
+		sum.FlowsAdopted += part.FlowsAdopted
+		sum.Pending += part.Pending
+	}
+	return sum
+}
+
+func (s *Server) totals() *totals {
+	sum := newTotals()
+	for _, w := range s.workers {
+		sum.add(&w.traffic)
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,291 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+	"go.uber.org/zap"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/decision/flow"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+	"burdockrelay.example/burdockrelay/proto/entrypb"
+)
+
+// service implements entrypb.Entry for controld.
+type service struct {
+	server *Server
+}
+
+var errNoTables = resultcode.Errorf(resultcode.DroppedNoTables, "no snapshot has been applied")
+
+// codeOf returns the result code of an error that the decisions or conversions
+// return.
+func codeOf(err error) resultcode.Code {
+	code, found := resultcode.Of(err)
+	if !found {
+		return resultcode.SnapshotInvalid
+	}
+	return code
+}
+
+// ApplySnapshot implements entrypb.Entry.
+func (s *service) ApplySnapshot(_ context.Context, request *entrypb.ApplySnapshotRequest) (*entrypb.ApplySnapshotResponse, error) {
+	snapshot, err := SnapshotFromProto(request)
+	if err == nil {
+		err = s.server.apply(snapshot)
+	}
+	if err != nil {
+		s.server.logger.Warn("snapshot_refused", zap.Uint64("release", request.GetRelease()),
+			zap.Uint64("epoch", request.GetEpoch()), zap.Uint64("sequence", request.GetSequence()), zap.Error(err))
+	}
+	return &entrypb.ApplySnapshotResponse{ResultCode: uint32(codeOf(err)), Release: s.server.release()}, nil
+}
+
+// apply puts a snapshot in force. Workers that handle a packet meanwhile use
+// the tables of the packet's shard.
+func (s *Server) apply(snapshot *common.Snapshot) error {
+	if snapshot.Self != common.InstanceIDOf(s.settings.Instance) {
+		return invalid("the snapshot is for instance %d, this is %q", snapshot.Self, s.settings.Instance)
+	}
+	s.applyLock.Lock()
+	defer s.applyLock.Unlock()
+	var previous *flow.Tables
+	if current := s.state.Load(); current != nil {
+		previous = current.tables
+	}
+	tables, err := flow.NewTables(snapshot, previous)
+	if err != nil {
+		return err
+	}
+	next := newState(snapshot, tables)
+	s.state.Store(next)
+	for i := range s.shards {
+		s.shards[i].mu.Lock()
+		s.shards[i].flows.Install(tables, s.now())
+		s.shards[i].state = next
+		s.shards[i].mu.Unlock()
+	}
+	return nil
+}
+
+// RenewLease implements entrypb.Entry.
+func (s *service) RenewLease(_ context.Context, request *entrypb.RenewLeaseRequest) (*entrypb.RenewLeaseResponse, error) {
+	s.server.leaseLock.Lock()
+	defer s.server.leaseLock.Unlock()
+	wasFenced, err := s.server.lease.Renew(s.server.now(), milliseconds(request.GetDurationMs()), request.GetIncarnation())
+	return &entrypb.RenewLeaseResponse{ResultCode: uint32(codeOf(err)), WasFenced: wasFenced}, nil
+}
+
+// TakeReplication implements entrypb.Entry.
+func (s *service) TakeReplication(_ context.Context, request *entrypb.TakeReplicationRequest) (*entrypb.TakeReplicationResponse, error) {
+	current := s.server.state.Load()
+	if current == nil {
+		return nil, unavailable()
+	}
+	budget := flow.Budget{Bytes: int(request.GetMaxBytes()), MaxBatchBytes: int(request.GetMaxBatchBytes())}
+	response := &entrypb.TakeReplicationResponse{}
+	for i := range s.server.shards {
+		batches := s.server.takeReplication(i, &budget)
+		for j := range batches {
+			response.Batches = append(response.Batches, batchToProto(&batches[j]))
+		}
+	}
+	response.Pending = uint32(s.server.flowStats().Pending)
+	return response, nil
+}
+
+func (s *Server) takeReplication(index int, budget *flow.Budget) []common.ReplicationBatch {
+	part := &s.shards[index]
+	part.mu.Lock()
+	defer part.mu.Unlock()
+	if part.state == nil {
+		return nil
+	}
+	return part.flows.TakeReplication(part.state.tables, s.now(), budget)
+}
+
+// AckReplication implements entrypb.Entry.
+func (s *service) AckReplication(_ context.Context, request *entrypb.AckReplicationRequest) (*entrypb.AckReplicationResponse, error) {
+	for i := range s.server.shards {
+		part := &s.server.shards[i]
+		part.mu.Lock()
+		part.flows.AckReplication(common.InstanceID(request.GetTarget()), request.GetSequence())
+		part.mu.Unlock()
+	}
+	return &entrypb.AckReplicationResponse{}, nil
+}
+
+// AddReplication implements entrypb.Entry.
+func (s *service) AddReplication(_ context.Context, request *entrypb.AddReplicationRequest) (*entrypb.AddReplicationResponse, error) {
+	if s.server.state.Load() == nil {
+		return &entrypb.AddReplicationResponse{ResultCode: uint32(resultcode.DroppedNoTables)}, nil
+	}
+	for _, message := range request.GetBatches() {
+		batch, err := batchFromProto(message)
+		if err != nil {
+			return &entrypb.AddReplicationResponse{ResultCode: uint32(codeOf(err))}, nil
+		}
+		s.server.addReplication(batch)
+	}
+	return &entrypb.AddReplicationResponse{}, nil
+}
+
+func (s *Server) addReplication(batch *common.ReplicationBatch) {
+	parts := splitBatch(batch)
+	for i := range parts {
+		if parts[i] == nil {
+			continue
+		}
+		part := &s.shards[i]
+		part.mu.Lock()
+		if part.state != nil {
+			part.flows.AddReplication(part.state.tables, parts[i], s.now())
+		}
+		part.mu.Unlock()
+	}
+}
+
+// PullReplication implements entrypb.Entry.
+func (s *service) PullReplication(_ context.Context, request *entrypb.PullReplicationRequest) (*entrypb.PullReplicationResponse, error) {
+	current := s.server.state.Load()
+	if current == nil {
+		return nil, unavailable()
+	}
+	members, err := membersFromProto(request.GetMembers())
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("members", err.Error())
+	}
+	snapshot := *current.snapshot
+	snapshot.Members = members
+	future, err := flow.NewTables(&snapshot, nil)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("members", err.Error())
+	}
+	joiner := common.InstanceID(request.GetJoiner())
+	merged := common.ReplicationBatch{Target: joiner, Source: snapshot.Self}
+	for i := range s.server.shards {
+		part := &s.server.shards[i]
+		part.mu.Lock()
+		batch := part.flows.PullReplication(current.tables, future, joiner)
+		part.mu.Unlock()
+		mergeBatch(&merged, &batch)
+	}
+	return &entrypb.PullReplicationResponse{Batch: batchToProto(&merged)}, nil
+}
+
+func unavailable() error {
+	return twirp.NewError(twirp.Unavailable, errNoTables.Error())
+}
+
+// Stats implements entrypb.Entry.
+func (s *service) Stats(context.Context, *entrypb.StatsRequest) (*entrypb.StatsResponse, error) {
+	flows := s.server.flowStats()
+	totals := s.server.totals()
+	response := &entrypb.StatsResponse{
+		Release:             s.server.release(),
+		Fenced:              s.server.fenced(),
+		OpenFlows:           uint64(flows.OpenFlows),
+		MaxFlows:            uint64(flows.MaxFlows),
+		ExceptionsOwned:     uint64(flows.ExceptionsOwned),
+		ExceptionsHeld:      uint64(flows.ExceptionsHeld),
+		PacketsForwarded:    totals.forwarded,
+		PacketsRelayed:      totals.relayed,
+		FlowsOpened:         flows.FlowsOpened,
+		FlowsRefused:        flows.FlowsRefused,
+		InvariantViolations: s.server.metrics.violationTotal.Load(),
+		Endpoints:           endpointFlows(s.server.state.Load()),
+	}
+	for code, count := range totals.results {
+		response.Results = append(response.Results, &entrypb.ResultCount{ResultCode: uint32(code), Count: count})
+	}
+	return response, nil
+}
+
+func endpointFlows(current *state) []*entrypb.EndpointFlows {
+	if current == nil {
+		return nil
+	}
+	var endpoints []*entrypb.EndpointFlows
+	for i := range current.snapshot.Services {
+		service := &current.snapshot.Services[i]
+		tables := current.tables.Match(service.Address)
+		for j := range service.Endpoints {
+			open, repeats := tables.OpenFlows(service.Endpoints[j].ID)
+			endpoints = append(endpoints, &entrypb.EndpointFlows{
+				Service:              uint32(service.ID),
+				Endpoint:             uint32(service.Endpoints[j].ID),
+				OpenFlows:            uint32(open),
+				RepeatedFirstPackets: repeats,
+			})
+		}
+	}
+	return endpoints
+}
+
+// splitBatch returns the part of the batch for each shard, nil where there is
+// none. Service bases hold for all shards.
+func splitBatch(batch *common.ReplicationBatch) [flow.Shards]*common.ReplicationBatch {
+	var parts [flow.Shards]*common.ReplicationBatch
+	part := func(index int) *common.ReplicationBatch {
+		if parts[index] == nil {
+			copied := *batch
+			copied.Exceptions = nil
+			copied.SlotBases = nil
+			parts[index] = &copied
+		}
+		return parts[index]
+	}
+	if len(batch.Bases) > 0 {
+		for i := range parts {
+			part(i)
+		}
+	}
+	for _, group := range batch.Exceptions {
+		for _, hash := range group.Hashes {
+			addException(part(flow.ShardOf(hash)), &group, hash)
+		}
+	}
+	for _, base := range batch.SlotBases {
+		hash := common.FlowHash(base.Slot) << (64 - common.SlotBits)
+		target := part(flow.ShardOf(hash))
+		target.SlotBases = append(target.SlotBases, base)
+	}
+	return parts
+}
+
+// addException appends a hash to the last group of the batch when that is the
+// same group, else to a new one.
+func addException(batch *common.ReplicationBatch, group *common.ExceptionGroup, hash common.FlowHash) {
+	last := len(batch.Exceptions) - 1
+	if last < 0 || batch.Exceptions[last].Service != group.Service ||
+		batch.Exceptions[last].Endpoint != group.Endpoint || batch.Exceptions[last].Withdrawn != group.Withdrawn {
+		batch.Exceptions = append(batch.Exceptions, common.ExceptionGroup{
+			Service: group.Service, Endpoint: group.Endpoint, Withdrawn: group.Withdrawn,
+		})
+		last++
+	}
+	batch.Exceptions[last].Hashes = append(batch.Exceptions[last].Hashes, hash)
+}
+
+// mergeBatch adds one shard's state to the answer for a joining instance.
+func mergeBatch(merged, part *common.ReplicationBatch) {
+	merged.SourceIncarnation = max(merged.SourceIncarnation, part.SourceIncarnation)
+	merged.Sequence = max(merged.Sequence, part.Sequence)
+	merged.Exceptions = append(merged.Exceptions, part.Exceptions...)
+	merged.SlotBases = append(merged.SlotBases, part.SlotBases...)
+	for _, base := range part.Bases {
+		if !hasBase(merged.Bases, base.Service) {
+			merged.Bases = append(merged.Bases, base)
+		}
+	}
+}
+
+func hasBase(bases []common.ServiceBase, service common.ServiceID) bool {
+	for i := range bases {
+		if bases[i].Service == service {
+			return true
+		}
+	}
+	return false
+}
