Merge branch 'main' into work-entry

burdock-entryd loads its settings with internal/settings. Replication batches go to the shard that their sequence names, because a batch can hold slot bitmaps that cannot be split by flow. A packet with the highest hop count is handled locally: the flow decisions would relay it a second time, which section 3.2 forbids.

--- a/binaries/burdock-entryd/main.go
+++ b/binaries/burdock-entryd/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -16,6 +17,7 @@
 
 	"burdockrelay.example/burdockrelay/internal/entry"
 	"burdockrelay.example/burdockrelay/internal/observe"
+	"burdockrelay.example/burdockrelay/internal/settings"
 )
 
 const program = "burdock-entryd"
@@ -56,16 +58,16 @@
 		fmt.Println(program, buildVersion())
 		return exitDone
 	}
-	settings, err := loadSettings(*path)
+	loaded, err := settings.Load[settings.Entry](*path)
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
+		fmt.Fprintln(os.Stderr, err)
 		return exitFaults
 	}
 	if *check {
 		fmt.Println(*path, "has no faults")
 		return exitDone
 	}
-	if err := serve(settings); err != nil {
+	if err := serve(loaded); err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
 		return exitFailed
 	}
@@ -81,26 +83,42 @@
 }
 
 // serve runs until a signal or a fault ends it.
-func serve(settings *settingsFile) error {
-	logger, err := observe.NewLogger(os.Stderr, settings.LogLevel, program)
+func serve(loaded *settings.Entry) error {
+	logger, err := observe.NewLogger(os.Stderr, loaded.LogLevel, program)
 	if err != nil {
 		return err
 	}
-	tracer, err := observe.NewTracer(context.Background(), settings.Trace, program)
+	tracer, err := observe.NewTracer(context.Background(), loaded.Trace, program)
 	if err != nil {
 		return err
 	}
 	defer flushTraces(tracer, logger)
-	server, err := entry.NewServer(settings.packetPath(), logger, observe.NewRegistry(), tracer)
+	server, err := entry.NewServer(packetPath(loaded), logger, observe.NewRegistry(), tracer)
 	if err != nil {
 		return err
 	}
 	server.Start()
 	logger.Info("started", zap.Stringer("packets", server.PacketAddress()),
-		zap.String("api", server.APIAddress()), zap.String("instance", settings.Instance))
+		zap.String("api", server.APIAddress()), zap.String("instance", loaded.Instance))
 	return wait(server, logger)
 }
 
+// packetPath returns the part of the settings that the packet path uses.
+func packetPath(loaded *settings.Entry) entry.Settings {
+	part := entry.Settings{
+		Instance:     loaded.Instance,
+		Listen:       netip.AddrPortFrom(loaded.Address, loaded.EntryPort),
+		APIListen:    loaded.APIListen.String(),
+		FabricReturn: loaded.FabricReturn,
+		MaxFlows:     int(loaded.MaxFlows),
+		SampleRatio:  loaded.Trace.SampleRatio,
+	}
+	if loaded.MetricsListen.IsValid() {
+		part.MetricsListen = loaded.MetricsListen.String()
+	}
+	return part
+}
+
 func wait(server *entry.Server, logger *zap.Logger) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -60,11 +61,21 @@
 		Fin:           x.decoded.Fin,
 		Reset:         x.decoded.ResetFlag,
 		PayloadLength: x.decoded.PayloadLength,
-		HopCount:      x.decoded.Relay.HopCount,
+		HopCount:      finalHopCount(x.decoded.Relay.HopCount),
 	}
 	return true
 }
 
+// finalHopCount makes the shard handle a packet with the highest hop count
+// locally: the shard would send it on to the former owner of a slot, and section
+// 3.2 of docs/design.md forbids a second relay.
+func finalHopCount(hopCount uint8) uint8 {
+	if hopCount >= packet.MaxHopCount {
+		return math.MaxUint8
+	}
+	return hopCount
+}
+
 // matchFilter finds the service of the packet's destination (P2).
 type matchFilter struct{}
 
@@ -147,7 +158,7 @@
 }
 
 func (f *invariantFilter) checkRelay(x *exchange) bool {
-	if x.flow.HopCount > 0 {
+	if x.decoded.Relay.HopCount >= packet.MaxHopCount {
 		f.metrics.violation(invariantSecondRelay)
 		return x.stop(resultcode.RouteHopLimit)
 	}
@@ -185,7 +196,7 @@
 		x.to = x.action.To
 	case flow.Relay:
 		x.out = x.withHeader(packet.RelayHeaderLength)
-		relay := packet.Relay{HopCount: x.flow.HopCount + 1, Sender: f.self, View: x.state.view}
+		relay := packet.Relay{HopCount: x.action.HopCount, Sender: f.self, View: x.state.view}
 		packet.PutRelayHeader(x.out, relay)
 		x.to = x.action.To
 	case flow.Refuse:
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
@@ -107,12 +108,10 @@
 
 // AckReplication implements entrypb.Entry.
 func (s *service) AckReplication(_ context.Context, request *entrypb.AckReplicationRequest) (*entrypb.AckReplicationResponse, error) {
-	for i := range s.server.shards {
-		part := &s.server.shards[i]
-		part.mu.Lock()
-		part.flows.AckReplication(common.InstanceID(request.GetTarget()), request.GetSequence())
-		part.mu.Unlock()
-	}
+	part := &s.server.shards[flow.ShardOfSequence(request.GetSequence())]
+	part.mu.Lock()
+	defer part.mu.Unlock()
+	part.flows.AckReplication(common.InstanceID(request.GetTarget()), request.GetSequence())
 	return &entrypb.AckReplicationResponse{}, nil
 }
 
@@ -131,18 +130,23 @@
 	return &entrypb.AddReplicationResponse{}, nil
 }
 
+// addReplication gives a batch to the shard that it names, or to all when it
+// answers a pull.
 func (s *Server) addReplication(batch *common.ReplicationBatch) {
-	parts := splitBatch(batch)
-	for i := range parts {
-		if parts[i] == nil {
-			continue
-		}
-		part := &s.shards[i]
-		part.mu.Lock()
-		if part.state != nil {
-			part.flows.AddReplication(part.state.tables, parts[i], s.now())
-		}
-		part.mu.Unlock()
+	if batch.Sequence != 0 {
+		s.shards[flow.ShardOfSequence(batch.Sequence)].addReplication(batch, s.now())
+		return
+	}
+	for i := range s.shards {
+		s.shards[i].addReplication(batch, s.now())
+	}
+}
+
+func (s *shard) addReplication(batch *common.ReplicationBatch, now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state != nil {
+		s.flows.AddReplication(s.state.tables, batch, now)
 	}
 }
 
@@ -223,55 +227,9 @@
 	return endpoints
 }
 
-// splitBatch returns the part of the batch for each shard, nil where there is
-// none. Service bases hold for all shards.
-func splitBatch(batch *common.ReplicationBatch) [flow.Shards]*common.ReplicationBatch {
-	var parts [flow.Shards]*common.ReplicationBatch
-	part := func(index int) *common.ReplicationBatch {
-		if parts[index] == nil {
-			copied := *batch
-			copied.Exceptions = nil
-			copied.SlotBases = nil
-			parts[index] = &copied
-		}
-		return parts[index]
-	}
-	if len(batch.Bases) > 0 {
-		for i := range parts {
-			part(i)
-		}
-	}
-	for _, group := range batch.Exceptions {
-		for _, hash := range group.Hashes {
-			addException(part(flow.ShardOf(hash)), &group, hash)
-		}
-	}
-	for _, base := range batch.SlotBases {
-		hash := common.FlowHash(base.Slot) << (64 - common.SlotBits)
-		target := part(flow.ShardOf(hash))
-		target.SlotBases = append(target.SlotBases, base)
-	}
-	return parts
-}
-
-// addException appends a hash to the last group of the batch when that is the
-// same group, else to a new one.
-func addException(batch *common.ReplicationBatch, group *common.ExceptionGroup, hash common.FlowHash) {
-	last := len(batch.Exceptions) - 1
-	if last < 0 || batch.Exceptions[last].Service != group.Service ||
-		batch.Exceptions[last].Endpoint != group.Endpoint || batch.Exceptions[last].Withdrawn != group.Withdrawn {
-		batch.Exceptions = append(batch.Exceptions, common.ExceptionGroup{
-			Service: group.Service, Endpoint: group.Endpoint, Withdrawn: group.Withdrawn,
-		})
-		last++
-	}
-	batch.Exceptions[last].Hashes = append(batch.Exceptions[last].Hashes, hash)
-}
-
 // mergeBatch adds one shard's state to the answer for a joining instance.
 func mergeBatch(merged, part *common.ReplicationBatch) {
-	merged.SourceIncarnation = max(merged.SourceIncarnation, part.SourceIncarnation)
-	merged.Sequence = max(merged.Sequence, part.Sequence)
+	merged.SourceIncarnation = part.SourceIncarnation
 	merged.Exceptions = append(merged.Exceptions, part.Exceptions...)
 	merged.SlotBases = append(merged.SlotBases, part.SlotBases...)
 	for _, base := range part.Bases {
--- a/internal/entry/tracing.go
+++ b/internal/entry/tracing.go
@@ -86,7 +86,7 @@
 func (t *tracing) spans(x *exchange, started, ended time.Time) {
 	ctx := trace.ContextWithRemoteSpanContext(context.Background(), flowContext(x.flow.Hash))
 	attributes := t.attributes(x)
-	if x.flow.HopCount == 0 {
+	if x.decoded.Relay.HopCount == 0 {
 		ctx = t.span(ctx, spanReceive, started, ended, attributes)
 	}
 	switch {
@@ -106,7 +106,7 @@
 	attributes := []attribute.KeyValue{
 		attribute.String("instance", t.instance),
 		attribute.Int("result_code", int(x.action.Code)),
-		attribute.Int("hop_count", int(x.flow.HopCount)),
+		attribute.Int("hop_count", int(x.decoded.Relay.HopCount)),
 	}
 	if x.flow.Service != nil {
 		attributes = append(attributes, attribute.String("service", x.flow.Service.Service().Name))
--- a/internal/packet/geneve.go
+++ b/internal/packet/geneve.go
@@ -33,11 +33,12 @@
 
 	flagOAM      = 0x80
 	flagCritical = 0x40
-	// maxHopCount is the highest hop count of the relay option: a packet is
-	// relayed once at most.
-	maxHopCount = 1
 )
 
+// MaxHopCount is the highest hop count of the relay option. An instance that
+// receives it handles the packet locally (docs/design.md, section 3.2).
+const MaxHopCount = 1
+
 var (
 	errGeneveTruncated   = errors.New("geneve header exceeds the packet")
 	errGeneveOptions     = errors.New("geneve option exceeds the options")
@@ -138,7 +139,7 @@
 	g.Relay.Flags = option[5]
 	g.Relay.Sender = common.InstanceID(binary.BigEndian.Uint32(option[8:12]))
 	g.Relay.View = binary.BigEndian.Uint32(option[12:16])
-	if g.Relay.HopCount > maxHopCount {
+	if g.Relay.HopCount > MaxHopCount {
 		return errGeneveRelayOption
 	}
 	return nil
--- a/internal/packet/packet_test.go
+++ b/internal/packet/packet_test.go
@@ -333,7 +333,7 @@
 		if p.InnerOffset+len(p.Inner) > len(data) || p.PayloadLength < 0 || p.PayloadLength > len(p.Inner) {
 			t.Fatalf("lengths outside the packet: %+v", p)
 		}
-		if p.Relay.HopCount > maxHopCount {
+		if p.Relay.HopCount > MaxHopCount {
 			t.Fatalf("hop count %d", p.Relay.HopCount)
 		}
 		if p.Tuple.Protocol == common.ProtocolTCP && p.First() {
