Add pure decisions, platform client and peer transport of controld

Membership, release, drain and health decide from inputs only; the platform client and the datagram transport carry them.

--- /dev/null
+++ b/internal/controller/drain.go
@@ -0,0 +1,169 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/decision/drain"
+	"burdockrelay.example/burdockrelay/internal/platform"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+)
+
+const (
+	// storeInterval is the time between tries to store drains.
+	storeInterval = 2 * time.Second
+	// storeTimeout bounds how long an operator waits for the platform before
+	// the drain is reported as not stored yet.
+	storeTimeout = 2 * time.Second
+)
+
+// drainController stores drain overrides at the platform when it can be reached.
+type drainController struct {
+	*core
+	isWatcher func() bool
+	// stored is the newest override of each endpoint seen at the platform.
+	stored map[common.EndpointID]drain.Override
+}
+
+// drainSpec is the spec of an object of the collection drains.
+type drainSpec struct {
+	Endpoint common.EndpointID `json:"endpoint"`
+	Draining bool              `json:"draining"`
+	Version  uint64            `json:"version"`
+	Origin   common.InstanceID `json:"origin"`
+}
+
+func drainName(id common.EndpointID) string { return fmt.Sprintf("endpoint-%d", id) }
+
+// mergeDrain takes an override from a peer or the platform. The caller holds mu.
+func (c *core) mergeDrain(override drain.Override) {
+	if !c.drains.Merge(override) {
+		return
+	}
+	c.gossip.addDrain(override.Endpoint)
+	c.snapshotChanged()
+}
+
+// set records an operator's wish and passes it on.
+func (d *drainController) set(ctx context.Context, name string, draining bool) (bool, error) {
+	d.mu.Lock()
+	if d.inForce == nil {
+		d.mu.Unlock()
+		return false, resultcode.Errorf(resultcode.AdminUnavailable, "no release is in force yet")
+	}
+	endpoint, found := d.inForce.release.EndpointByName(name)
+	if !found {
+		d.mu.Unlock()
+		return false, resultcode.Errorf(resultcode.AdminUnknownName, "no endpoint has the name %q", name)
+	}
+	override := d.drains.Set(endpoint.ID, draining, d.self)
+	d.gossip.addDrain(endpoint.ID)
+	d.mu.Unlock()
+	d.snapshotChanged()
+	d.logger.Info("drain_set", zap.String("endpoint", name), zap.Bool("draining", draining), zap.Uint64("version", override.Version))
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := d.store(ctx, override); err != nil {
+		d.logger.Warn("drain_not_stored", zap.String("endpoint", name), zap.Error(err))
+		return false, nil
+	}
+	return true, nil
+}
+
+// run stores the overrides that the platform does not have. The instance that
+// took the operator's wish does so, and the watchers in case it is gone.
+func (d *drainController) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, jitter(storeInterval))
+		for _, override := range d.unstored() {
+			if err := d.store(ctx, override); err != nil {
+				d.logger.Debug("drain_not_stored", zap.Error(err))
+				break
+			}
+		}
+	}
+	return nil
+}
+
+func (d *drainController) unstored() []drain.Override {
+	watcher := d.isWatcher()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var unstored []drain.Override
+	for _, override := range d.drains.All() {
+		if d.stored[override.Endpoint] != override && (watcher || override.Origin == d.self) {
+			unstored = append(unstored, override)
+		}
+	}
+	return unstored
+}
+
+// store writes an override unless the platform has a newer one. The conditional
+// update makes a repeated write after a lost answer harmless: it is preceded by a
+// read that shows whether the first one took effect.
+func (d *drainController) store(ctx context.Context, override drain.Override) error {
+	name := drainName(override.Endpoint)
+	object, err := d.platform.Get(ctx, platform.Drains, name)
+	code, _ := resultcode.Of(err)
+	if err != nil && code != resultcode.PlatformNotFound {
+		return err
+	}
+	version := ""
+	if err == nil {
+		stored, ok := d.observe(object)
+		if ok && !override.Newer(stored) {
+			return nil
+		}
+		version = object.Metadata.ResourceVersion
+	}
+	written, err := platform.NewObject("Drain", name, version, drainSpec(override))
+	if err != nil {
+		return err
+	}
+	if version == "" {
+		_, err = d.platform.Create(ctx, platform.Drains, written)
+	} else {
+		_, err = d.platform.Update(ctx, platform.Drains, written)
+	}
+	if err == nil {
+		d.observe(written)
+	}
+	return err
+}
+
+// observe takes a drain object of the platform.
+func (d *drainController) observe(object *platform.Object) (drain.Override, bool) {
+	var spec drainSpec
+	if err := json.Unmarshal(object.Spec, &spec); err != nil {
+		d.logger.Warn("drain_object", zap.String("name", object.Metadata.Name), zap.Error(err))
+		return drain.Override{}, false
+	}
+	override := drain.Override(spec)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stored[override.Endpoint] = override
+	d.mergeDrain(override)
+	return override, true
+}
+
+// Replace, Change and Failed follow the collection drains.
+func (d *drainController) Replace(list *platform.List) {
+	for i := range list.Items {
+		d.observe(&list.Items[i])
+	}
+}
+
+// Change takes a changed drain.
+func (d *drainController) Change(kind string, object *platform.Object) {
+	if kind != platform.Deleted {
+		d.observe(object)
+	}
+}
+
+// Failed records that the platform does not answer.
+func (d *drainController) Failed(err error) { d.stale(inputPlatform, err) }
--- /dev/null
+++ b/internal/controller/gossip.go
@@ -0,0 +1,269 @@
+package controller
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/decision/drain"
+	"burdockrelay.example/burdockrelay/internal/decision/health"
+	"burdockrelay.example/burdockrelay/internal/decision/release"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+	"burdockrelay.example/burdockrelay/proto/entrypb"
+	"burdockrelay.example/burdockrelay/proto/peerpb"
+)
+
+const (
+	// endpointsPerDatagram and drainsPerDatagram bound the piggyback: an
+	// endpoint update takes about 26 bytes and a drain about 14.
+	endpointsPerDatagram = 5
+	drainsPerDatagram    = 3
+	// gossipFactor scales how often an item is passed on with the logarithm of
+	// the group's size.
+	gossipFactor = 3
+)
+
+// reportKey identifies the newest report of one prober about one endpoint.
+type reportKey struct {
+	endpoint common.EndpointID
+	prober   common.InstanceID
+}
+
+type gossipItem struct {
+	// urgent items are changes of state, which go before loads.
+	urgent bool
+	sends  int
+}
+
+// gossip selects the endpoint and drain updates that a datagram carries.
+type gossip struct {
+	reports map[reportKey]*gossipItem
+	values  map[reportKey]health.Report
+	seenAt  map[reportKey]int64
+	drains  map[common.EndpointID]*gossipItem
+	turn    int
+}
+
+func newGossip() *gossip {
+	return &gossip{
+		reports: map[reportKey]*gossipItem{},
+		values:  map[reportKey]health.Report{},
+		seenAt:  map[reportKey]int64{},
+		drains:  map[common.EndpointID]*gossipItem{},
+	}
+}
+
+func (g *gossip) addReport(report health.Report, nowMS int64) {
+	key := reportKey{report.Endpoint, report.Prober}
+	previous, found := g.values[key]
+	urgent := !found || previous.State != report.State
+	if known := g.reports[key]; known != nil {
+		urgent = urgent || known.urgent
+	}
+	g.values[key] = report
+	g.seenAt[key] = nowMS - report.Age.Milliseconds()
+	g.reports[key] = &gossipItem{urgent: urgent}
+}
+
+func (g *gossip) addDrain(endpoint common.EndpointID) {
+	g.drains[endpoint] = &gossipItem{urgent: true}
+}
+
+// takeReports returns the updates for one datagram, changes of state first,
+// then what was sent least often.
+func (g *gossip) takeReports(members int, nowMS int64) []*peerpb.EndpointUpdate {
+	var updates []*peerpb.EndpointUpdate
+	for _, key := range least(g.reports, endpointsPerDatagram, compareReportKeys) {
+		report := g.values[key]
+		age := nowMS - g.seenAt[key]
+		count(g.reports, key, members)
+		if age >= health.ReportLifetime.Milliseconds() {
+			delete(g.reports, key)
+			continue
+		}
+		updates = append(updates, encodeReport(report, age))
+	}
+	return updates
+}
+
+// takeDrains returns new overrides first and fills up with known ones in turn,
+// so that a member that missed the news learns it.
+func (g *gossip) takeDrains(table *drain.Table, members int) []*peerpb.DrainUpdate {
+	var updates []*peerpb.DrainUpdate
+	for _, endpoint := range least(g.drains, drainsPerDatagram, cmp.Compare[common.EndpointID]) {
+		if override, found := table.Get(endpoint); found {
+			updates = append(updates, encodeDrain(override))
+		}
+		count(g.drains, endpoint, members)
+	}
+	all := table.All()
+	if len(updates) < drainsPerDatagram && len(all) > 0 {
+		g.turn = (g.turn + 1) % len(all)
+		updates = append(updates, encodeDrain(all[g.turn]))
+	}
+	return updates
+}
+
+func compareReportKeys(a, b reportKey) int {
+	return cmp.Or(cmp.Compare(a.endpoint, b.endpoint), cmp.Compare(a.prober, b.prober))
+}
+
+func least[K comparable](items map[K]*gossipItem, n int, compare func(a, b K) int) []K {
+	keys := make([]K, 0, len(items))
+	for key := range items {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b K) int {
+		x, y := items[a], items[b]
+		if x.urgent != y.urgent {
+			if x.urgent {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(x.sends, y.sends), compare(a, b))
+	})
+	return keys[:min(n, len(keys))]
+}
+
+func count[K comparable](items map[K]*gossipItem, key K, members int) {
+	items[key].sends++
+	if items[key].sends >= gossipFactor*bits.Len(uint(members)) {
+		delete(items, key)
+	}
+}
+
+func encodeReport(report health.Report, ageMS int64) *peerpb.EndpointUpdate {
+	return &peerpb.EndpointUpdate{
+		Endpoint:          uint32(report.Endpoint),
+		State:             entrypb.EndpointState(report.State),
+		Load:              report.Load,
+		Version:           report.Version,
+		Prober:            uint32(report.Prober),
+		ProberIncarnation: report.Incarnation,
+		AgeMs:             uint32(max(ageMS, 0)),
+	}
+}
+
+func encodeDrain(override drain.Override) *peerpb.DrainUpdate {
+	return &peerpb.DrainUpdate{
+		Endpoint: uint32(override.Endpoint),
+		Draining: override.Draining,
+		Version:  override.Version,
+		Origin:   uint32(override.Origin),
+	}
+}
+
+// attach adds the release notice, the own acknowledgement, endpoint states and
+// drains to a datagram. The caller holds mu.
+func (c *core) attach(d *peerpb.Datagram) {
+	members := len(c.machine.Peers()) + 1
+	p := d.Piggyback
+	accepted := c.tracker.Accepted().Short()
+	prepared := c.tracker.Prepared().Short()
+	if accepted.Number > 0 || prepared.Number > 0 {
+		p.Release = &peerpb.ReleaseNotice{
+			AcceptedNumber:  accepted.Number,
+			AcceptedHash:    accepted.Hash,
+			PreparedNumber:  prepared.Number,
+			PreparedHash:    prepared.Hash,
+			PreparedAttempt: prepared.Attempt,
+		}
+	}
+	if c.ownAck.Ref.Number > 0 {
+		p.ReleaseAcks = append(p.ReleaseAcks, c.encodeOwnAck())
+	}
+	p.Endpoints = c.gossip.takeReports(members, c.now().Milliseconds())
+	p.Drains = c.gossip.takeDrains(c.drains, members)
+}
+
+func (c *core) encodeOwnAck() *peerpb.ReleaseAck {
+	ref := c.ownAck.Ref.Short()
+	return &peerpb.ReleaseAck{
+		Instance:   uint32(c.self),
+		Number:     ref.Number,
+		Hash:       ref.Hash,
+		ResultCode: uint32(c.ownAck.Code),
+		InForce:    c.tracker.InForce().Number,
+	}
+}
+
+// absorb takes what a datagram carries besides membership. The caller holds mu.
+func (c *core) absorb(p *peerpb.Piggyback) {
+	if p == nil {
+		return
+	}
+	c.absorbNotice(p.GetRelease())
+	for _, ack := range p.GetReleaseAcks() {
+		c.absorbAck(ack)
+	}
+	for _, update := range p.GetEndpoints() {
+		c.absorbReport(update)
+	}
+	for _, update := range p.GetDrains() {
+		c.mergeDrain(drain.Override{
+			Endpoint: common.EndpointID(update.GetEndpoint()),
+			Draining: update.GetDraining(),
+			Version:  update.GetVersion(),
+			Origin:   common.InstanceID(update.GetOrigin()),
+		})
+	}
+}
+
+func (c *core) absorbNotice(notice *peerpb.ReleaseNotice) {
+	if notice == nil {
+		return
+	}
+	accepted := release.Ref{Number: notice.GetAcceptedNumber(), Hash: notice.GetAcceptedHash()}
+	prepared := release.Ref{
+		Number:  notice.GetPreparedNumber(),
+		Hash:    notice.GetPreparedHash(),
+		Attempt: notice.GetPreparedAttempt(),
+	}
+	c.observeAccepted(accepted)
+	c.observePrepared(prepared)
+}
+
+func (c *core) absorbAck(ack *peerpb.ReleaseAck) {
+	id := common.InstanceID(ack.GetInstance())
+	if id == c.self {
+		return
+	}
+	known := c.acks[id]
+	ref := release.Ref{Number: ack.GetNumber(), Hash: ack.GetHash()}
+	if ref.Number < known.Ref.Number || ack.GetInForce() < known.InForce {
+		// A datagram that was overtaken, unless the instance was replaced.
+		if ref.Number != 0 && ack.GetInForce() != 0 {
+			return
+		}
+	}
+	c.acks[id] = release.Ack{
+		Instance: id,
+		Ref:      ref,
+		Code:     resultcode.Code(ack.GetResultCode()),
+		InForce:  ack.GetInForce(),
+	}
+}
+
+// maxReportAge bounds the age that a peer may state, which a stale or false
+// report could otherwise turn into a time before the process started.
+const maxReportAge = health.ReportLifetime
+
+func (c *core) absorbReport(update *peerpb.EndpointUpdate) {
+	if update.GetState() > entrypb.EndpointState_ENDPOINT_STATE_DOWN || update.GetProber() == uint32(c.self) {
+		return
+	}
+	report := decodeReport(update)
+	if report.Age >= maxReportAge {
+		return
+	}
+	before := c.health.Status(report.Endpoint, c.now())
+	if !c.health.Merge(report, c.now()) {
+		return
+	}
+	c.gossip.addReport(report, c.now().Milliseconds())
+	if c.health.Status(report.Endpoint, c.now()).State != before.State {
+		c.snapshotChanged()
+	}
+}
--- /dev/null
+++ b/internal/controller/health.go
@@ -0,0 +1,234 @@
+package controller
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/decision/health"
+	"burdockrelay.example/burdockrelay/proto/peerpb"
+)
+
+const (
+	// probersPerEndpoint lets one prober be cut off or killed.
+	probersPerEndpoint = 2
+	minProbeInterval   = time.Second
+	maxProbeInterval   = 3 * time.Second
+	// probeSpacing stretches the interval when an instance probes many
+	// endpoints: a probe costs about 350 bytes, so 200 ms keeps health below
+	// 2 KB/s until maxProbeInterval is reached.
+	probeSpacing = 200 * time.Millisecond
+	probeTimeout = 800 * time.Millisecond
+	// concurrentProbes bounds the goroutines of one round.
+	concurrentProbes = 16
+	// maxHealthAnswer bounds what an endpoint may make us read.
+	maxHealthAnswer = 4096
+)
+
+// healthController probes the endpoints that rendezvous assigns to it.
+type healthController struct {
+	*core
+	client  *http.Client
+	probers map[common.EndpointID]*health.Prober
+	version uint64
+}
+
+func newHealthController(c *core) *healthController {
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
+	return &healthController{
+		core:    c,
+		client:  &http.Client{Transport: transport, Timeout: probeTimeout},
+		probers: map[common.EndpointID]*health.Prober{},
+	}
+}
+
+type probeTarget struct {
+	id      common.EndpointID
+	address netip.AddrPort
+}
+
+func (h *healthController) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		targets := h.targets()
+		started := time.Now()
+		h.probeAll(ctx, targets)
+		interval := time.Duration(len(targets)) * probeSpacing
+		interval = min(max(interval, minProbeInterval), maxProbeInterval)
+		sleep(ctx, interval-time.Since(started))
+	}
+	return nil
+}
+
+// targets returns the endpoints of the group that this instance probes.
+func (h *healthController) targets() []probeTarget {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.inForce == nil {
+		return nil
+	}
+	live := []common.InstanceID{h.self}
+	for _, update := range h.machine.Peers() {
+		live = append(live, update.ID)
+	}
+	endpoints := h.inForce.release.EndpointsByID()
+	var targets []probeTarget
+	for i := range h.services {
+		for j := range h.services[i].Endpoints {
+			id := h.services[i].Endpoints[j].ID
+			endpoint, found := endpoints[id]
+			if found && slices.Contains(rendezvous(uint64(id), live, probersPerEndpoint), h.self) {
+				targets = append(targets, probeTarget{id, endpoint.Health})
+			}
+		}
+	}
+	return targets
+}
+
+// rendezvous returns the n instances with the highest weight for a key.
+func rendezvous(key uint64, instances []common.InstanceID, n int) []common.InstanceID {
+	weight := func(id common.InstanceID) uint64 {
+		var b [12]byte
+		binary.BigEndian.PutUint64(b[:8], key)
+		binary.BigEndian.PutUint32(b[8:], uint32(id))
+		return xxhash.Sum64(b[:])
+	}
+	sorted := slices.Clone(instances)
+	slices.SortFunc(sorted, func(a, b common.InstanceID) int {
+		if weight(a) > weight(b) {
+			return -1
+		}
+		return 1
+	})
+	return sorted[:min(n, len(sorted))]
+}
+
+func (h *healthController) probeAll(ctx context.Context, targets []probeTarget) {
+	results := make([]health.Result, len(targets))
+	limit := make(chan struct{}, concurrentProbes)
+	var group sync.WaitGroup
+	for i := range targets {
+		limit <- struct{}{}
+		group.Go(func() {
+			results[i] = h.probe(ctx, targets[i].address)
+			<-limit
+		})
+	}
+	group.Wait()
+	if ctx.Err() == nil {
+		h.report(targets, results)
+	}
+}
+
+// healthAnswer is the body of GET /healthz.
+type healthAnswer struct {
+	Status string `json:"status"`
+	Load   uint32 `json:"load"`
+	Slots  uint32 `json:"slots"`
+}
+
+var healthStates = map[string]common.EndpointState{
+	"up":       common.EndpointUp,
+	"cold":     common.EndpointCold,
+	"draining": common.EndpointDraining,
+	"down":     common.EndpointDown,
+}
+
+func (h *healthController) probe(ctx context.Context, address netip.AddrPort) health.Result {
+	target := "http://" + address.String() + "/healthz"
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return health.Result{Failed: true}
+	}
+	h.meter.Count("sent", "health", len(target)+healthRequestBytes)
+	response, err := h.client.Do(request)
+	if err != nil {
+		return health.Result{Failed: true}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxHealthAnswer))
+	h.meter.Count("received", "health", len(body)+healthResponseBytes)
+	if err != nil {
+		return health.Result{Failed: true}
+	}
+	var answer healthAnswer
+	if json.Unmarshal(body, &answer) != nil {
+		return health.Result{Failed: true}
+	}
+	state, known := healthStates[answer.Status]
+	if !known {
+		return health.Result{Failed: true}
+	}
+	if response.StatusCode != http.StatusOK && state != common.EndpointDraining {
+		state = common.EndpointDown
+	}
+	return health.Result{State: state, Load: answer.Load}
+}
+
+// healthRequestBytes and healthResponseBytes estimate HTTP, TCP and IP headers of
+// a probe on a kept connection.
+const (
+	healthRequestBytes  = 140
+	healthResponseBytes = 190
+)
+
+func (h *healthController) report(targets []probeTarget, results []health.Result) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	known := make(map[common.EndpointID]bool, len(targets))
+	for i, target := range targets {
+		known[target.id] = true
+		prober := h.probers[target.id]
+		if prober == nil {
+			prober = &health.Prober{}
+			h.probers[target.id] = prober
+		}
+		state, load, ok := prober.Observe(results[i])
+		if ok {
+			h.publishReport(target.id, state, load)
+		}
+	}
+	for id := range h.probers {
+		if !known[id] {
+			delete(h.probers, id)
+		}
+	}
+}
+
+func (h *healthController) publishReport(id common.EndpointID, state common.EndpointState, load uint32) {
+	h.version++
+	report := health.Report{
+		Endpoint:    id,
+		Prober:      h.self,
+		Incarnation: h.machine.Self().Incarnation,
+		Version:     h.version,
+		State:       state,
+		Load:        load,
+	}
+	before := h.health.Status(id, h.now())
+	h.health.Merge(report, h.now())
+	h.gossip.addReport(report, h.now().Milliseconds())
+	if h.health.Status(id, h.now()).State != before.State {
+		h.snapshotChanged()
+	}
+}
+
+func decodeReport(update *peerpb.EndpointUpdate) health.Report {
+	return health.Report{
+		Endpoint:    common.EndpointID(update.GetEndpoint()),
+		Prober:      common.InstanceID(update.GetProber()),
+		Incarnation: update.GetProberIncarnation(),
+		Version:     update.GetVersion(),
+		State:       common.EndpointState(update.GetState()),
+		Load:        update.GetLoad(),
+		Age:         time.Duration(update.GetAgeMs()) * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/internal/controller/membership.go
@@ -0,0 +1,254 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/decision/membership"
+	"burdockrelay.example/burdockrelay/internal/peer"
+	"burdockrelay.example/burdockrelay/internal/platform"
+	"burdockrelay.example/burdockrelay/proto/peerpb"
+)
+
+const (
+	// tickInterval is how often the membership timers are checked.
+	tickInterval = 100 * time.Millisecond
+	// listInterval is the mean time between reads of the instance list: 2,300
+	// daemons make 230 of the platform's 2,000 reads a second.
+	listInterval = 10 * time.Second
+	// firstListInterval applies until the first list arrives.
+	firstListInterval = 500 * time.Millisecond
+)
+
+// membershipController runs the membership machine over datagrams and the
+// instance list.
+type membershipController struct {
+	*core
+	// replication receives the datagrams that carry exceptions.
+	replication func(from netip.AddrPort, d *peerpb.Datagram)
+	shownState  common.MemberState
+	shownView   uint64
+}
+
+func (m *membershipController) receive() error {
+	for {
+		from, d, err := m.transport.Receive()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		message, ok := peer.DecodeMembership(d)
+		if !ok {
+			m.replication(from, d)
+			continue
+		}
+		m.handle(from, message, d.GetPiggyback())
+	}
+}
+
+func (m *membershipController) handle(from netip.AddrPort, message membership.Message, p *peerpb.Piggyback) {
+	m.mu.Lock()
+	version := m.machine.Version()
+	outputs := m.machine.Receive(m.now(), from, message)
+	m.absorb(p)
+	m.inputs[inputPeers] = input{at: m.now(), seen: true, state: "ok"}
+	changed := m.machine.Version() != version
+	datagrams := m.encode(outputs)
+	m.mu.Unlock()
+	m.sendAll(outputs, datagrams)
+	if changed {
+		m.snapshotChanged()
+	}
+}
+
+// encode returns the datagrams of messages. The caller holds mu.
+func (c *core) encode(outputs []membership.Output) []*peerpb.Datagram {
+	datagrams := make([]*peerpb.Datagram, 0, len(outputs))
+	for i := range outputs {
+		d := peer.EncodeMembership(&outputs[i].Message)
+		c.attach(d)
+		datagrams = append(datagrams, d)
+	}
+	return datagrams
+}
+
+func (c *core) sendAll(outputs []membership.Output, datagrams []*peerpb.Datagram) {
+	for i, d := range datagrams {
+		if err := c.transport.Send(outputs[i].Address, d); err != nil {
+			c.logger.Debug("datagram_not_sent", zap.Error(err))
+		}
+	}
+}
+
+func (m *membershipController) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			m.tickOnce()
+		}
+	}
+}
+
+func (m *membershipController) tickOnce() {
+	m.mu.Lock()
+	version := m.machine.Version()
+	outputs := m.machine.Tick(m.now())
+	datagrams := m.encode(outputs)
+	changed := m.machine.Version() != version
+	m.logChanges()
+	m.mu.Unlock()
+	m.sendAll(outputs, datagrams)
+	if changed {
+		m.snapshotChanged()
+	}
+}
+
+// logChanges logs state changes and updates the metrics. The caller holds mu.
+func (m *membershipController) logChanges() {
+	self := m.machine.Self()
+	if self.State != m.shownState || self.Incarnation != m.shownView {
+		m.shownState = self.State
+		m.shownView = self.Incarnation
+		m.logger.Info("own_state", zap.Uint8("state", uint8(self.State)), zap.Uint64("incarnation", self.Incarnation))
+	}
+	counts := map[common.MemberState]int{}
+	for _, member := range m.machine.Members() {
+		counts[member.State]++
+	}
+	for state := common.MemberJoining; state <= common.MemberDead; state++ {
+		m.metrics.members.WithLabelValues(stateName(state)).Set(float64(counts[state]))
+	}
+	settled := 0.0
+	if m.machine.Settled(m.now()) {
+		settled = 1
+	}
+	m.metrics.settled.Set(settled)
+	m.metrics.rejoins.Set(float64(m.machine.Rejoins()))
+}
+
+func stateName(state common.MemberState) string {
+	names := [...]string{"joining", "serving", "leaving", "suspect", "dead"}
+	if int(state) < len(names) {
+		return names[state]
+	}
+	return "unknown"
+}
+
+// followList reads the instance list until the context ends.
+func (m *membershipController) followList(ctx context.Context) error {
+	for ctx.Err() == nil {
+		interval := listInterval
+		list, err := m.platform.List(ctx, platform.Instances)
+		if err != nil {
+			m.stale(inputInstances, err)
+			m.stale(inputPlatform, err)
+			m.logger.Debug("instance_list_failed", zap.Error(err))
+		} else {
+			m.takeList(list)
+		}
+		m.mu.Lock()
+		if !m.listed {
+			interval = firstListInterval
+		}
+		m.mu.Unlock()
+		sleep(ctx, jitter(interval))
+	}
+	return nil
+}
+
+// jitter spreads calls of many daemons over time.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// instanceSpec and instanceStatus are the parts of an item of the instance list.
+type instanceSpec struct {
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
+	Group      string `json:"group"`
+}
+
+type instanceStatus struct {
+	State string `json:"state"`
+}
+
+func (m *membershipController) takeList(list *platform.List) {
+	version, err := strconv.ParseUint(list.Metadata.ResourceVersion, 10, 64)
+	if err != nil {
+		m.logger.Warn("instance_list_version", zap.String("version", list.Metadata.ResourceVersion))
+		return
+	}
+	var all []instanceInfo
+	var candidates []membership.Candidate
+	for i := range list.Items {
+		info, candidate, ok := m.decodeInstance(&list.Items[i])
+		if !ok {
+			continue
+		}
+		all = append(all, info)
+		if info.group == m.settings.Group {
+			candidates = append(candidates, candidate)
+		}
+	}
+	m.fresh(inputInstances)
+	m.fresh(inputPlatform)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.machine.SetCandidates(version, candidates, m.now())
+	m.list = all
+	m.listed = true
+}
+
+func (m *membershipController) decodeInstance(object *platform.Object) (instanceInfo, membership.Candidate, bool) {
+	var spec instanceSpec
+	var status instanceStatus
+	errSpec := json.Unmarshal(object.Spec, &spec)
+	_ = json.Unmarshal(object.Status, &status)
+	address, errAddress := netip.ParseAddr(spec.Address)
+	if errSpec != nil || errAddress != nil {
+		m.logger.Warn("instance_list_item", zap.String("name", object.Metadata.Name), zap.String("address", spec.Address))
+		return instanceInfo{}, membership.Candidate{}, false
+	}
+	if spec.Group == "" {
+		spec.Group = spec.DataCentre
+	}
+	info := instanceInfo{
+		id:         common.InstanceIDOf(object.Metadata.Name),
+		name:       object.Metadata.Name,
+		dataCentre: spec.DataCentre,
+		group:      spec.Group,
+		leaving:    status.State == "leaving",
+	}
+	candidate := membership.Candidate{
+		ID:      info.id,
+		Name:    info.name,
+		Entry:   netip.AddrPortFrom(address, m.settings.EntryPort),
+		Peer:    netip.AddrPortFrom(address, m.settings.PeerPort),
+		Leaving: info.leaving,
+	}
+	return info, candidate, true
+}
--- /dev/null
+++ b/internal/decision/release/publication.go
@@ -0,0 +1,136 @@
+package release
+
+// Step is what a publication does next.
+type Step uint8
+
+// Steps of a publication, docs/design.md section 5.
+const (
+	// StepCreate writes the release object, create-only.
+	StepCreate Step = iota
+	// StepReadRelease reads the object back, because the answer was lost or
+	// the name was taken.
+	StepReadRelease
+	// StepAwait waits for acknowledgements.
+	StepAwait
+	// StepMove moves the pointer by conditional update.
+	StepMove
+	// StepReadPointer reads the pointer back, because the answer was lost or
+	// the update met a conflict.
+	StepReadPointer
+	// StepDone means accepted.
+	StepDone
+	// StepConflict means that another release has the number.
+	StepConflict
+	// StepRefused means that an instance could not load the release.
+	StepRefused
+	// StepUnconfirmed means that the outcome could not be read back in time.
+	StepUnconfirmed
+)
+
+// Outcome is the answer to a write.
+type Outcome uint8
+
+// Outcomes of a write.
+const (
+	// OutcomeDone means that the write took effect.
+	OutcomeDone Outcome = iota
+	// OutcomeConflict means that another write came first, or that an earlier
+	// try of this one took effect.
+	OutcomeConflict
+	// OutcomeLost means that the effect is unknown.
+	OutcomeLost
+	// OutcomeNotDone means that the write certainly had no effect.
+	OutcomeNotDone
+)
+
+// Publication is the state of one publication. Every lost answer leads to a
+// read, and a write is repeated only when the read shows that it had no effect
+// and that no write can still take effect twice: both writes are conditional.
+type Publication struct {
+	ref  Ref
+	step Step
+}
+
+// NewPublication returns a publication of a release at its first step.
+func NewPublication(ref Ref) *Publication {
+	return &Publication{ref: ref, step: StepCreate}
+}
+
+// Ref returns the release that is published.
+func (p *Publication) Ref() Ref { return p.ref }
+
+// Step returns what to do next.
+func (p *Publication) Step() Step { return p.step }
+
+// Finished reports whether the outcome is final.
+func (p *Publication) Finished() bool { return p.step >= StepDone }
+
+// Created takes the answer to the creation of the release object.
+func (p *Publication) Created(outcome Outcome) {
+	switch outcome {
+	case OutcomeDone:
+		p.step = StepAwait
+	case OutcomeNotDone:
+		p.step = StepCreate
+	default:
+		p.step = StepReadRelease
+	}
+}
+
+// ReadRelease takes the object read back. A missing object allows the creation
+// to be repeated, because creation is exclusive.
+func (p *Publication) ReadRelease(found bool, ref Ref) {
+	switch {
+	case !found:
+		p.step = StepCreate
+	case ref.Matches(p.ref):
+		p.step = StepAwait
+	default:
+		p.step = StepConflict
+	}
+}
+
+// Judged takes the verdict on the acknowledgements.
+func (p *Publication) Judged(decision Decision) {
+	switch decision {
+	case Accept:
+		p.step = StepMove
+	case Refuse:
+		p.step = StepRefused
+	default:
+		p.step = StepAwait
+	}
+}
+
+// Moved takes the answer to the move of the pointer.
+func (p *Publication) Moved(outcome Outcome) {
+	switch outcome {
+	case OutcomeDone:
+		p.step = StepDone
+	case OutcomeNotDone:
+		p.step = StepMove
+	default:
+		p.step = StepReadPointer
+	}
+}
+
+// ReadPointer takes the pointer read back. unchanged tells that it still has the
+// version that the move is conditional on, so the move can be repeated.
+func (p *Publication) ReadPointer(ref Ref, unchanged bool) {
+	switch {
+	case ref.Matches(p.ref):
+		p.step = StepDone
+	case unchanged:
+		p.step = StepMove
+	default:
+		p.step = StepConflict
+	}
+}
+
+// GiveUp ends a publication whose time is over. A publication that may have
+// written the pointer stays unconfirmed.
+func (p *Publication) GiveUp() {
+	if !p.Finished() {
+		p.step = StepUnconfirmed
+	}
+}
--- /dev/null
+++ b/internal/platform/object.go
@@ -0,0 +1,78 @@
+// Package platform is the client of the operators' object API, see
+// docs/design.md section 5.2.
+package platform
+
+import "encoding/json"
+
+// Collections of the object API.
+const (
+	Releases         = "releases"
+	Pointers         = "pointers"
+	Drains           = "drains"
+	Acknowledgements = "acknowledgements"
+	Instances        = "instances"
+)
+
+// APIVersion is the version in every object.
+const APIVersion = "burdockrelay.example/v1"
+
+const basePath = "/apis/" + APIVersion + "/"
+
+// Metadata is the common part of objects and lists.
+type Metadata struct {
+	Name              string `json:"name,omitempty"`
+	ResourceVersion   string `json:"resourceVersion,omitempty"`
+	CreationTimestamp string `json:"creationTimestamp,omitempty"`
+}
+
+// Object is one object with its spec and status still encoded.
+type Object struct {
+	Kind       string          `json:"kind"`
+	APIVersion string          `json:"apiVersion"`
+	Metadata   Metadata        `json:"metadata"`
+	Spec       json.RawMessage `json:"spec,omitempty"`
+	Status     json.RawMessage `json:"status,omitempty"`
+}
+
+// List is the answer to a GET on a collection.
+type List struct {
+	Metadata Metadata `json:"metadata"`
+	Items    []Object `json:"items"`
+}
+
+// Failure is the body of an unsuccessful answer.
+type Failure struct {
+	Kind    string `json:"kind"`
+	Reason  string `json:"reason"`
+	Code    int    `json:"code"`
+	Message string `json:"message"`
+}
+
+// Event types of a watch.
+const (
+	Added    = "ADDED"
+	Modified = "MODIFIED"
+	Deleted  = "DELETED"
+	Bookmark = "BOOKMARK"
+	failed   = "ERROR"
+)
+
+// Event is one line of a watch.
+type Event struct {
+	Type   string          `json:"type"`
+	Object json.RawMessage `json:"object"`
+}
+
+// NewObject encodes a spec into an object.
+func NewObject(kind, name, resourceVersion string, spec any) (*Object, error) {
+	encoded, err := json.Marshal(spec)
+	if err != nil {
+		return nil, err
+	}
+	return &Object{
+		Kind:       kind,
+		APIVersion: APIVersion,
+		Metadata:   Metadata{Name: name, ResourceVersion: resourceVersion},
+		Spec:       encoded,
+	}, nil
+}
