--- /dev/null
+++ b/internal/controller/acknowledgement.go
@@ -0,0 +1,148 @@
+package controller
+
+import (
+	"context"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/platform"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+)
+
+const (
+	// reportInterval is the time between renewals of a watcher's report: 36
+	// watchers make 12 writes a second.
+	reportInterval = 3 * time.Second
+	// reportSpacing bounds the writes while acknowledgements come in.
+	reportSpacing = 500 * time.Millisecond
+	// groupLease is how long a group counts as reachable after its newest
+	// report. It allows two lost renewals.
+	groupLease = 8 * time.Second
+)
+
+// ackSpec is one instance's acknowledgement in a watcher's report.
+type ackSpec struct {
+	Instance   string `json:"instance"`
+	Number     uint64 `json:"number"`
+	Hash       string `json:"hash"`
+	ResultCode uint32 `json:"resultCode"`
+	InForce    uint64 `json:"inForce"`
+}
+
+// reportSpec is the spec of an object of the collection acknowledgements. Each
+// watcher writes its own object, so watchers never conflict.
+type reportSpec struct {
+	Group      string `json:"group"`
+	DataCentre string `json:"dataCentre"`
+	// Beat changes with each renewal.
+	Beat  uint64    `json:"beat"`
+	Alive []string  `json:"alive"`
+	Dead  []string  `json:"dead"`
+	Acks  []ackSpec `json:"acks"`
+}
+
+// reportController writes what a watcher knows about its group's
+// acknowledgements to the platform.
+type reportController struct {
+	*core
+	beat     uint64
+	version  string
+	written  reportSpec
+	lastSent time.Duration
+	exists   bool
+}
+
+func (r *reportController) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, reportSpacing)
+		if r.isWatcher() {
+			r.renew(ctx)
+		} else if r.exists {
+			r.remove(ctx)
+		}
+	}
+	return nil
+}
+
+func (r *reportController) renew(ctx context.Context) {
+	report := r.report()
+	unchanged := reflect.DeepEqual(report, r.written)
+	if unchanged && r.now()-r.lastSent < reportInterval {
+		return
+	}
+	r.lastSent = r.now()
+	r.beat++
+	sent := report
+	sent.Beat = r.beat
+	if err := r.write(ctx, &sent); err != nil {
+		r.logger.Debug("report_not_written", zap.Error(err))
+		r.version = ""
+		return
+	}
+	r.exists = true
+	r.written = report
+}
+
+// write replaces the own object. After a failure it reads the version again.
+func (r *reportController) write(ctx context.Context, report *reportSpec) error {
+	if r.version == "" {
+		object, err := r.platform.Get(ctx, platform.Acknowledgements, r.settings.Instance)
+		code, _ := resultcode.Of(err)
+		if err != nil && code != resultcode.PlatformNotFound {
+			return err
+		}
+		if err == nil {
+			r.version = object.Metadata.ResourceVersion
+		}
+	}
+	object, err := platform.NewObject("Acknowledgement", r.settings.Instance, r.version, report)
+	if err != nil {
+		return err
+	}
+	var written *platform.Object
+	if r.version == "" {
+		written, err = r.platform.Create(ctx, platform.Acknowledgements, object)
+	} else {
+		written, err = r.platform.Update(ctx, platform.Acknowledgements, object)
+	}
+	if err != nil {
+		return err
+	}
+	r.version = written.Metadata.ResourceVersion
+	return nil
+}
+
+// remove deletes the report of an instance that is no watcher any more.
+func (r *reportController) remove(ctx context.Context) {
+	if err := r.platform.Delete(ctx, platform.Acknowledgements, r.settings.Instance); err == nil {
+		r.exists = false
+		r.version = ""
+		r.written = reportSpec{}
+	}
+}
+
+func (r *reportController) report() reportSpec {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	report := reportSpec{Group: r.settings.Group, DataCentre: r.settings.DataCentre}
+	for _, member := range r.machine.Members() {
+		if member.State == common.MemberDead {
+			report.Dead = append(report.Dead, member.Name)
+			continue
+		}
+		report.Alive = append(report.Alive, member.Name)
+		if ack, found := r.ackOf(member.ID); found {
+			ref := ack.Ref.Short()
+			report.Acks = append(report.Acks, ackSpec{member.Name, ref.Number, ref.Hash, uint32(ack.Code), ack.InForce})
+		}
+	}
+	slices.Sort(report.Alive)
+	slices.Sort(report.Dead)
+	slices.SortFunc(report.Acks, func(a, b ackSpec) int { return strings.Compare(a.Instance, b.Instance) })
+	return report
+}
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,217 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/admin"
+	"burdockrelay.example/burdockrelay/internal/config"
+	"burdockrelay.example/burdockrelay/internal/decision/drain"
+	"burdockrelay.example/burdockrelay/internal/decision/health"
+	"burdockrelay.example/burdockrelay/internal/decision/membership"
+	"burdockrelay.example/burdockrelay/internal/decision/release"
+	"burdockrelay.example/burdockrelay/internal/peer"
+	"burdockrelay.example/burdockrelay/internal/platform"
+	"burdockrelay.example/burdockrelay/internal/settings"
+	"burdockrelay.example/burdockrelay/proto/adminpb"
+	"burdockrelay.example/burdockrelay/proto/entrypb"
+)
+
+// Controller runs all controllers of one burdock-controld and implements
+// admin.Control.
+type Controller struct {
+	core          *core
+	listener      net.Listener
+	membership    *membershipController
+	configuration *configurationController
+	publication   *publicationController
+	drain         *drainController
+	health        *healthController
+	replication   *replicationController
+	entry         *entryController
+	report        *reportController
+	status        *statusController
+}
+
+var (
+	_ admin.Control       = (*Controller)(nil)
+	_ admin.OldestInForce = (*Controller)(nil)
+)
+
+// New opens the sockets of the peer protocol and returns a controller that is
+// not running yet.
+func New(s *settings.Control, logger *zap.Logger, registry prometheus.Registerer) (*Controller, error) {
+	address := netip.AddrPortFrom(s.Address, s.PeerPort)
+	meter := peer.NewMeter(registry)
+	transport, err := peer.Listen(address, s.Group, meter)
+	if err != nil {
+		return nil, fmt.Errorf("open datagram socket %s: %w", address, err)
+	}
+	listener, err := net.Listen("tcp4", transport.Address().String())
+	if err != nil {
+		_ = transport.Close()
+		return nil, fmt.Errorf("open peer service %s: %w", address, err)
+	}
+	c := newCore(s, logger, registry, meter, transport)
+	return assemble(c, listener), nil
+}
+
+func newCore(s *settings.Control, logger *zap.Logger, registry prometheus.Registerer, meter *peer.Meter, transport *peer.Transport) *core {
+	started := time.Now()
+	// The number only has to differ from that of an earlier process; peers and
+	// entryd that remember a higher one raise it.
+	incarnation := uint64(started.Unix())
+	self := membership.Update{
+		ID:          common.InstanceIDOf(s.Instance),
+		Name:        s.Instance,
+		Incarnation: incarnation,
+		Entry:       netip.AddrPortFrom(s.Address, s.EntryPort),
+		Peer:        transport.Address(),
+	}
+	return &core{
+		settings:  s,
+		logger:    logger,
+		start:     started,
+		self:      self.ID,
+		tomb:      &tomb.Tomb{},
+		platform:  platform.NewClient(s.Platform, registry),
+		transport: transport,
+		peers:     peer.NewClient(meter),
+		meter:     meter,
+		entry:     entrypb.NewEntryProtobufClient("http://"+s.EntryAPI.String(), &http.Client{Timeout: entryTimeout}),
+		metrics:   newControlMetrics(registry),
+		wake:      make(chan struct{}, 1),
+		wanted:    make(chan struct{}, 1),
+		machine:   membership.New(membership.DefaultConfig(), self, uint64(started.UnixNano()), 0),
+		drains:    drain.NewTable(),
+		health:    health.NewTable(),
+		loaded:    map[uint64]*loadedRelease{},
+		acks:      map[common.InstanceID]release.Ack{},
+		inputs:    map[string]input{inputPlatform: {}, inputInstances: {}, inputEntry: {}, inputPeers: {}},
+		gossip:    newGossip(),
+	}
+}
+
+func assemble(c *core, listener net.Listener) *Controller {
+	controller := &Controller{core: c, listener: listener}
+	controller.drain = &drainController{core: c, stored: map[common.EndpointID]drain.Override{}}
+	controller.replication = newReplicationController(c)
+	controller.membership = &membershipController{core: c, replication: controller.replication.handle}
+	controller.configuration = &configurationController{core: c, drains: controller.drain}
+	controller.publication = newPublicationController(c)
+	controller.health = newHealthController(c)
+	controller.entry = &entryController{core: c, epoch: uint64(time.Now().UnixNano())}
+	controller.report = &reportController{core: c}
+	controller.status = &statusController{c}
+	return controller
+}
+
+// Start runs the controllers until Stop or a failure.
+func (c *Controller) Start() {
+	t := c.core.tomb
+	ctx := t.Context(context.Background())
+	jobs := []func(context.Context) error{
+		c.membership.tick,
+		c.membership.followList,
+		c.configuration.watch,
+		c.configuration.poll,
+		c.configuration.run,
+		c.drain.run,
+		c.health.run,
+		c.replication.run,
+		c.replication.join,
+		c.entry.run,
+		c.report.run,
+		func(ctx context.Context) error { return peer.Serve(ctx, c.listener, &peerService{c.core}) },
+	}
+	t.Go(func() error {
+		for _, job := range jobs {
+			t.Go(func() error { return job(ctx) })
+		}
+		return c.membership.receive()
+	})
+	t.Go(func() error {
+		<-t.Dying()
+		return c.core.transport.Close()
+	})
+}
+
+// Dead is closed when all controllers have ended.
+func (c *Controller) Dead() <-chan struct{} { return c.core.tomb.Dead() }
+
+// Err returns the failure that ended the controllers.
+func (c *Controller) Err() error { return c.core.tomb.Err() }
+
+// Leave announces that this instance leaves and hands over its exceptions.
+func (c *Controller) Leave() {
+	c.core.mu.Lock()
+	c.core.machine.Leave(c.core.now())
+	c.core.mu.Unlock()
+	c.core.logger.Info("leaving")
+	c.core.snapshotChanged()
+	c.membership.announce()
+	c.replication.handOver()
+}
+
+// Stop ends the controllers and waits for them.
+func (c *Controller) Stop() error {
+	c.core.tomb.Kill(nil)
+	return c.core.tomb.Wait()
+}
+
+// Accepted returns the newest accepted release.
+func (c *Controller) Accepted() *config.Release {
+	c.core.mu.Lock()
+	defer c.core.mu.Unlock()
+	if c.core.inForce == nil {
+		return nil
+	}
+	return c.core.inForce.release
+}
+
+// OldestInForce returns the lowest release that an instance may have in force.
+func (c *Controller) OldestInForce() uint64 { return c.core.oldestInForce() }
+
+// Publish builds, writes and accepts a release.
+func (c *Controller) Publish(ctx context.Context, configuration *config.Configuration, base uint64, info config.ReleaseInfo) (admin.PublishResult, error) {
+	return c.publication.publish(ctx, configuration, base, info)
+}
+
+// Status reports the instances, services and endpoints.
+func (c *Controller) Status(ctx context.Context) (*adminpb.StatusResponse, error) {
+	return c.status.status(ctx)
+}
+
+// History lists accepted releases, newest first.
+func (c *Controller) History(ctx context.Context, limit int) ([]*adminpb.ReleaseSummary, error) {
+	records, err := c.publication.history(ctx, limit)
+	if err != nil {
+		return nil, err
+	}
+	summaries := make([]*adminpb.ReleaseSummary, 0, len(records))
+	for _, record := range records {
+		summaries = append(summaries, &adminpb.ReleaseSummary{
+			Number:     record.spec.Number,
+			Hash:       record.spec.Hash,
+			Author:     record.spec.Author,
+			Note:       record.spec.Note,
+			AcceptedAt: record.created,
+			InForce:    record.inForce,
+		})
+	}
+	return summaries, nil
+}
+
+// Drain starts or ends a drain.
+func (c *Controller) Drain(ctx context.Context, endpoint string, draining bool) (bool, error) {
+	return c.drain.set(ctx, endpoint, draining)
+}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -10,6 +10,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
 
 	"burdockrelay.example/burdockrelay/common"
 	"burdockrelay.example/burdockrelay/internal/config"
@@ -53,6 +54,9 @@
 	start    time.Time
 	self     common.InstanceID
 
+	// tomb holds every goroutine of the daemon.
+	tomb *tomb.Tomb
+
 	platform  *platform.Client
 	transport *peer.Transport
 	peers     *peer.Client
@@ -80,6 +84,8 @@
 	inputs   map[string]input
 	gossip   *gossip
 	stats    *entrypb.StatsResponse
+	// snapshotRelease is the release of the last snapshot that entryd took.
+	snapshotRelease uint64
 	// preparedSince is when the present prepared release was first seen.
 	preparedSince time.Duration
 }
--- a/internal/controller/drain.go
+++ b/internal/controller/drain.go
@@ -25,7 +25,6 @@
 // drainController stores drain overrides at the platform when it can be reached.
 type drainController struct {
 	*core
-	isWatcher func() bool
 	// stored is the newest override of each endpoint seen at the platform.
 	stored map[common.EndpointID]drain.Override
 }
--- /dev/null
+++ b/internal/controller/entry.go
@@ -0,0 +1,272 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+	"burdockrelay.example/burdockrelay/proto/entrypb"
+)
+
+const (
+	// renewInterval is the time between lease renewals.
+	renewInterval = 500 * time.Millisecond
+	// snapshotInterval is the longest time between snapshots: it refreshes the
+	// loads of endpoints, whose weight halves in 2 s.
+	snapshotInterval = 2 * time.Second
+	// snapshotSpacing bounds the snapshots of a burst of changes.
+	snapshotSpacing = 100 * time.Millisecond
+	// entryTimeout bounds a call of entryd on the loopback address.
+	entryTimeout = time.Second
+)
+
+// entryController feeds entryd with snapshots and lease renewals.
+type entryController struct {
+	*core
+	epoch    uint64
+	sequence uint64
+	// confirmed is the release that entryd has answered with; a lower one in
+	// its statistics means that it has restarted.
+	confirmed uint64
+	lastSent  time.Duration
+	reachable bool
+	// raise doubles with each refusal of the incarnation.
+	raise uint64
+}
+
+func (e *entryController) run(ctx context.Context) error {
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			e.renew(ctx)
+			e.readStats(ctx)
+			if e.now()-e.lastSent >= snapshotInterval {
+				e.send(ctx)
+			}
+		case <-e.wake:
+			e.send(ctx)
+			sleep(ctx, snapshotSpacing)
+		}
+	}
+}
+
+// renew prolongs the lease by what is left of the last confirmed contact with a
+// peer. Without contact it stays silent and entryd is fenced.
+func (e *entryController) renew(ctx context.Context) {
+	e.mu.Lock()
+	left, ok := e.machine.Lease(e.now())
+	self := e.machine.Self()
+	e.mu.Unlock()
+	if !ok {
+		return
+	}
+	asked := e.now()
+	ctx, cancel := context.WithTimeout(ctx, entryTimeout)
+	defer cancel()
+	response, err := e.entry.RenewLease(ctx, &entrypb.RenewLeaseRequest{
+		DurationMs:  uint32(left.Milliseconds()),
+		Incarnation: self.Incarnation,
+	})
+	if err != nil {
+		e.failed("renew_lease", err)
+		return
+	}
+	e.answered()
+	switch resultcode.Code(response.GetResultCode()) {
+	case resultcode.OK:
+		e.raise = 0
+	case resultcode.LeaseOldIncarnation:
+		e.raiseIncarnation()
+		return
+	default:
+		e.metrics.leaseErr.Inc()
+		return
+	}
+	if response.GetWasFenced() {
+		e.rejoin(self.State, asked)
+	}
+}
+
+// raiseIncarnation follows a refusal: entryd outlived a controld with a higher
+// incarnation.
+func (e *entryController) raiseIncarnation() {
+	e.raise = max(1, 2*e.raise)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.machine.RaiseIncarnation(e.machine.Self().Incarnation+e.raise, e.now())
+	e.logger.Info("incarnation_raised", zap.Uint64("incarnation", e.machine.Self().Incarnation))
+}
+
+// rejoin follows a lease that had lapsed while this instance was serving: its
+// slots may have another owner, or entryd has restarted without flows.
+func (e *entryController) rejoin(state common.MemberState, asked time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if state != common.MemberServing || e.machine.Self().State != common.MemberServing {
+		return
+	}
+	e.logger.Warn("lease_had_lapsed", zap.Duration("since_start", asked))
+	e.machine.Rejoin(e.now())
+	e.snapshotChanged()
+}
+
+func (e *entryController) failed(call string, err error) {
+	e.metrics.leaseErr.Inc()
+	e.stale(inputEntry, err)
+	if e.reachable {
+		e.logger.Warn("entryd_unreachable", zap.String("call", call), zap.Error(err))
+	}
+	e.reachable = false
+}
+
+// answered sends a full snapshot again after entryd was unreachable.
+func (e *entryController) answered() {
+	e.fresh(inputEntry)
+	if !e.reachable {
+		e.logger.Info("entryd_reachable")
+		e.snapshotChanged()
+	}
+	e.reachable = true
+}
+
+func (e *entryController) readStats(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, entryTimeout)
+	defer cancel()
+	stats, err := e.entry.Stats(ctx, &entrypb.StatsRequest{})
+	if err != nil {
+		e.failed("stats", err)
+		return
+	}
+	e.answered()
+	e.mu.Lock()
+	e.stats = stats
+	e.mu.Unlock()
+	if stats.GetRelease() < e.confirmed {
+		e.logger.Warn("entryd_restarted", zap.Uint64("release", stats.GetRelease()))
+		e.confirmed = 0
+		e.snapshotChanged()
+	}
+}
+
+func (e *entryController) send(ctx context.Context) {
+	request, ok := e.snapshot()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, entryTimeout)
+	defer cancel()
+	response, err := e.entry.ApplySnapshot(ctx, request)
+	if err != nil {
+		e.failed("apply_snapshot", err)
+		return
+	}
+	e.lastSent = e.now()
+	e.confirmed = response.GetRelease()
+	if code := response.GetResultCode(); code != 0 {
+		e.logger.Warn("snapshot_refused", zap.Uint32("result_code", code), zap.Uint64("release", request.GetRelease()))
+		return
+	}
+	e.mu.Lock()
+	e.snapshotRelease = request.GetRelease()
+	e.mu.Unlock()
+}
+
+func (e *entryController) snapshot() (*entrypb.ApplySnapshotRequest, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.inForce == nil {
+		return nil, false
+	}
+	now := e.now()
+	e.sequence++
+	request := &entrypb.ApplySnapshotRequest{
+		Release:     e.inForce.ref.Number,
+		ReleaseHash: e.inForce.ref.Hash,
+		Self:        uint32(e.self),
+		Settled:     e.machine.Settled(now),
+		Isolated:    e.machine.Isolated(now),
+		Epoch:       e.epoch,
+		Sequence:    e.sequence,
+		Members:     encodeMembers(e.machine.Members()),
+	}
+	for i := range e.services {
+		request.Services = append(request.Services, e.encodeService(&e.services[i], now))
+	}
+	return request, true
+}
+
+func encodeMembers(members []common.Member) []*entrypb.Member {
+	encoded := make([]*entrypb.Member, 0, len(members))
+	for i := range members {
+		m := &members[i]
+		if !m.EntryAddress.IsValid() {
+			continue
+		}
+		encoded = append(encoded, &entrypb.Member{
+			Instance:     uint32(m.ID),
+			Name:         m.Name,
+			Incarnation:  m.Incarnation,
+			EntryAddress: m.EntryAddress.String(),
+			State:        entrypb.MemberState(m.State),
+		})
+	}
+	return encoded
+}
+
+func (e *entryController) encodeService(s *common.Service, now time.Duration) *entrypb.Service {
+	encoded := &entrypb.Service{
+		Id:         uint32(s.ID),
+		Name:       s.Name,
+		Address:    s.Address.Address.String(),
+		Port:       uint32(s.Address.Port),
+		Protocol:   entrypb.Protocol(s.Address.Protocol),
+		Idempotent: s.Idempotent,
+		Policy:     encodePolicy(&s.Policy),
+	}
+	for i := range s.Endpoints {
+		encoded.Endpoints = append(encoded.Endpoints, e.encodeEndpoint(&s.Endpoints[i], now))
+	}
+	return encoded
+}
+
+func encodePolicy(p *common.Policy) *entrypb.Policy {
+	return &entrypb.Policy{
+		Selection:           entrypb.Selection(p.Selection),
+		BoundPercent:        p.BoundPercent,
+		SlowStartMs:         uint32(p.SlowStart.Milliseconds()),
+		IdleTimeoutMs:       uint32(p.IdleTimeout.Milliseconds()),
+		MaxFlowsPerEndpoint: p.MaxFlowsPerEndpoint,
+		NewFlowsPerSecond:   p.NewFlowsPerSecond,
+		MaxEjectedPercent:   p.MaxEjectedPercent,
+	}
+}
+
+func (e *entryController) encodeEndpoint(endpoint *common.Endpoint, now time.Duration) *entrypb.Endpoint {
+	status := e.health.Status(endpoint.ID, now)
+	return &entrypb.Endpoint{
+		Id:            uint32(endpoint.ID),
+		Name:          endpoint.Name,
+		TunnelAddress: endpoint.Tunnel.String(),
+		Weight:        endpoint.Weight,
+		State:         entrypb.EndpointState(e.endpointState(endpoint.ID, status.State)),
+		Load:          status.Load,
+		LoadAgeMs:     uint32(status.LoadAge.Milliseconds()),
+		ColdSinceMs:   uint32(min(status.ColdFor, time.Hour).Milliseconds()),
+	}
+}
+
+// endpointState combines the probed state with the operators' drains. The caller
+// holds mu.
+func (c *core) endpointState(id common.EndpointID, probed common.EndpointState) common.EndpointState {
+	if probed.TakesNewFlows() && c.drains.Draining(id) {
+		return common.EndpointDraining
+	}
+	return probed
+}
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -149,6 +149,19 @@
 	return "unknown"
 }
 
+// announce sends the own state to all peers at once, as far as the budget of
+// control bytes allows; gossip reaches the others.
+func (m *membershipController) announce() {
+	m.mu.Lock()
+	var outputs []membership.Output
+	for _, update := range m.machine.Peers() {
+		outputs = append(outputs, m.machine.PingNow(update.ID, m.now())...)
+	}
+	datagrams := m.encode(outputs)
+	m.mu.Unlock()
+	m.sendAll(outputs, datagrams)
+}
+
 // followList reads the instance list until the context ends.
 func (m *membershipController) followList(ctx context.Context) error {
 	for ctx.Err() == nil {
--- /dev/null
+++ b/internal/controller/replication.go
@@ -0,0 +1,350 @@
+package controller
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/decision/membership"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+	"burdockrelay.example/burdockrelay/proto/entrypb"
+	"burdockrelay.example/burdockrelay/proto/peerpb"
+)
+
+const (
+	// replicationInterval is the time between looks for due updates.
+	replicationInterval = 200 * time.Millisecond
+	// maxBatchBytes leaves 120 bytes of a datagram for its header.
+	maxBatchBytes = 1080
+	// minReplicationBudget avoids datagrams that are mostly headers.
+	minReplicationBudget = 300
+	// resendAfter is the wait for an acknowledgement; the delay between data
+	// centres is a few milliseconds, so an answer after it is lost.
+	resendAfter = time.Second
+	// maxTries is how often one batch is sent to a live target.
+	maxTries = 10
+	// maxQueuedBatches bounds the batches that wait for acknowledgements.
+	maxQueuedBatches = 64
+	// joinCheckInterval is the time between looks whether to serve.
+	joinCheckInterval = 200 * time.Millisecond
+	// discoveryQuiet is how long no new member must have appeared before a
+	// joining instance pulls: its slots depend on the whole view.
+	discoveryQuiet = 1500 * time.Millisecond
+	// discoveryLimit ends the wait for listed instances that do not answer.
+	discoveryLimit = 6 * time.Second
+	// pullTries is how often a peer is asked for the state of the slots.
+	pullTries = 2
+	// handoverLimit bounds how long a leaving instance hands over exceptions.
+	handoverLimit = 8 * time.Second
+)
+
+// replicationController moves exceptions between entryd and the peers.
+type replicationController struct {
+	*core
+	// queues holds the unacknowledged batches of each target in order. Only the
+	// first is in flight, so a target takes them in the order of sequence.
+	queues map[common.InstanceID][]*queuedBatch
+	acks   chan *replicationAck
+	// pending is the number of updates that entryd still holds back.
+	pending uint32
+}
+
+type queuedBatch struct {
+	batch  *entrypb.ReplicationBatch
+	sentAt time.Duration
+	tries  int
+}
+
+type replicationAck struct {
+	from     common.InstanceID
+	sequence uint64
+}
+
+func newReplicationController(c *core) *replicationController {
+	return &replicationController{
+		core:   c,
+		queues: map[common.InstanceID][]*queuedBatch{},
+		acks:   make(chan *replicationAck, maxQueuedBatches),
+	}
+}
+
+func (r *replicationController) run(ctx context.Context) error {
+	ticker := time.NewTicker(replicationInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case ack := <-r.acks:
+			r.acknowledged(ctx, ack)
+		case <-ticker.C:
+			r.takeDue(ctx)
+			r.sendDue()
+		}
+	}
+}
+
+// takeDue fetches updates from entryd within the budget of control bytes.
+func (r *replicationController) takeDue(ctx context.Context) {
+	budget := r.transport.ReplicationBudget()
+	if budget < minReplicationBudget || r.queued() >= maxQueuedBatches {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, entryTimeout)
+	defer cancel()
+	response, err := r.entry.TakeReplication(ctx, &entrypb.TakeReplicationRequest{
+		MaxBytes:      uint32(budget),
+		MaxBatchBytes: maxBatchBytes,
+	})
+	if err != nil {
+		return
+	}
+	r.mu.Lock()
+	r.pending = response.GetPending()
+	r.mu.Unlock()
+	for _, batch := range response.GetBatches() {
+		target := common.InstanceID(batch.GetTarget())
+		r.queues[target] = append(r.queues[target], &queuedBatch{batch: batch})
+	}
+}
+
+func (r *replicationController) queued() int {
+	n := 0
+	for _, queue := range r.queues {
+		n += len(queue)
+	}
+	return n
+}
+
+// sendDue sends the first batch of each target that is new or overdue.
+func (r *replicationController) sendDue() {
+	for _, target := range sortedTargets(r.queues) {
+		if r.transport.ReplicationBudget() < 0 {
+			return
+		}
+		r.sendFirst(target)
+	}
+}
+
+func sortedTargets(queues map[common.InstanceID][]*queuedBatch) []common.InstanceID {
+	targets := make([]common.InstanceID, 0, len(queues))
+	for target := range queues {
+		targets = append(targets, target)
+	}
+	slices.Sort(targets)
+	return targets
+}
+
+func (r *replicationController) sendFirst(target common.InstanceID) {
+	queue := r.queues[target]
+	if len(queue) == 0 {
+		delete(r.queues, target)
+		return
+	}
+	first := queue[0]
+	if first.tries > 0 && r.now()-first.sentAt < resendAfter {
+		return
+	}
+	r.mu.Lock()
+	address, alive := r.peerAddress(target)
+	incarnation := r.machine.Self().Incarnation
+	r.mu.Unlock()
+	if !alive || first.tries >= maxTries {
+		// entryd sends a successor everything again when the view changes.
+		r.logger.Info("replication_dropped", zap.Uint32("target", uint32(target)), zap.Int("batches", len(queue)))
+		delete(r.queues, target)
+		return
+	}
+	if first.tries > 0 {
+		r.metrics.resends.Inc()
+	}
+	first.tries++
+	first.sentAt = r.now()
+	d := &peerpb.Datagram{
+		Sender:      uint32(r.self),
+		Incarnation: incarnation,
+		Sequence:    first.batch.GetSequence(),
+		Kind:        &peerpb.Datagram_Replication{Replication: first.batch},
+	}
+	if err := r.transport.Send(address, d); err != nil {
+		r.logger.Debug("replication_not_sent", zap.Error(err))
+	}
+}
+
+// acknowledged releases a batch and sends the next one of the target.
+func (r *replicationController) acknowledged(ctx context.Context, ack *replicationAck) {
+	queue := r.queues[ack.from]
+	if len(queue) == 0 || queue[0].batch.GetSequence() != ack.sequence {
+		return
+	}
+	r.queues[ack.from] = queue[1:]
+	ctx, cancel := context.WithTimeout(ctx, entryTimeout)
+	defer cancel()
+	_, err := r.entry.AckReplication(ctx, &entrypb.AckReplicationRequest{
+		Target:   uint32(ack.from),
+		Sequence: ack.sequence,
+	})
+	if err != nil {
+		r.logger.Debug("replication_ack_failed", zap.Error(err))
+	}
+	if r.transport.ReplicationBudget() >= 0 {
+		r.sendFirst(ack.from)
+	}
+}
+
+// handle takes a replication datagram of a peer.
+func (r *replicationController) handle(from netip.AddrPort, d *peerpb.Datagram) {
+	switch kind := d.Kind.(type) {
+	case *peerpb.Datagram_ReplicationAck:
+		select {
+		case r.acks <- &replicationAck{common.InstanceID(d.GetSender()), kind.ReplicationAck.GetSequence()}:
+		default:
+		}
+	case *peerpb.Datagram_Replication:
+		r.add(from, d.GetSender(), kind.Replication)
+	}
+}
+
+// add stores a peer's batch in entryd and acknowledges it.
+func (r *replicationController) add(from netip.AddrPort, sender uint32, batch *entrypb.ReplicationBatch) {
+	if batch.GetSource() != sender || batch.GetTarget() != uint32(r.self) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), entryTimeout)
+	defer cancel()
+	if !r.store(ctx, batch) {
+		return
+	}
+	r.mu.Lock()
+	incarnation := r.machine.Self().Incarnation
+	r.mu.Unlock()
+	answer := &peerpb.Datagram{
+		Sender:      uint32(r.self),
+		Incarnation: incarnation,
+		Kind:        &peerpb.Datagram_ReplicationAck{ReplicationAck: &peerpb.ReplicationAck{Sequence: batch.GetSequence()}},
+	}
+	if err := r.transport.Send(from, answer); err != nil {
+		r.logger.Debug("replication_ack_not_sent", zap.Error(err))
+	}
+}
+
+// store reports whether entryd holds the batch. A batch that entryd calls stale
+// is held already.
+func (r *replicationController) store(ctx context.Context, batch *entrypb.ReplicationBatch) bool {
+	response, err := r.entry.AddReplication(ctx, &entrypb.AddReplicationRequest{Batches: []*entrypb.ReplicationBatch{batch}})
+	if err != nil {
+		return false
+	}
+	code := resultcode.Code(response.GetResultCode())
+	if code != resultcode.OK && code != resultcode.ReplicationStale {
+		r.logger.Warn("replication_refused", zap.Uint32("result_code", uint32(code)), zap.Uint32("source", batch.GetSource()))
+		return false
+	}
+	return true
+}
+
+// join takes this instance from joining to serving: it waits for the view and
+// for entryd's tables, pulls the state of its slots, then serves.
+func (r *replicationController) join(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, joinCheckInterval)
+		incarnation, ready := r.readyToPull()
+		if !ready {
+			continue
+		}
+		r.pullAll(ctx, incarnation)
+		r.mu.Lock()
+		self := r.machine.Self()
+		if self.Incarnation == incarnation && self.State == common.MemberJoining {
+			r.machine.Serve(r.now())
+			r.logger.Info("serving", zap.Uint64("incarnation", incarnation), zap.Int("peers", len(r.machine.Peers())))
+		}
+		r.mu.Unlock()
+		r.snapshotChanged()
+	}
+	return nil
+}
+
+func (r *replicationController) readyToPull() (uint64, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	self := r.machine.Self()
+	if self.State != common.MemberJoining || r.snapshotRelease == 0 {
+		return 0, false
+	}
+	if _, leased := r.machine.Lease(r.now()); !leased {
+		return 0, false
+	}
+	if !r.listed && len(r.machine.Peers()) == 0 {
+		return 0, false
+	}
+	return self.Incarnation, r.machine.Discovered(r.now(), discoveryQuiet, discoveryLimit)
+}
+
+// pullAll asks every live peer for the state of the slots that this instance
+// will own. A peer that does not answer is left out: its exceptions of these
+// slots are lost, as if it had been killed.
+func (r *replicationController) pullAll(ctx context.Context, incarnation uint64) {
+	r.mu.Lock()
+	peers := r.machine.Peers()
+	members := r.machine.Members()
+	r.mu.Unlock()
+	for i := range members {
+		if members[i].ID == r.self {
+			members[i].State = common.MemberServing
+		}
+	}
+	request := &entrypb.PullReplicationRequest{Joiner: uint32(r.self), Members: encodeMembers(members)}
+	for i := range peers {
+		r.pull(ctx, &peers[i], request)
+		r.mu.Lock()
+		outdated := r.machine.Self().Incarnation != incarnation
+		r.mu.Unlock()
+		if outdated || ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+func (r *replicationController) pull(ctx context.Context, from *membership.Update, request *entrypb.PullReplicationRequest) {
+	for range pullTries {
+		response, err := r.peers.PullReplication(ctx, from.Peer, request)
+		if err != nil {
+			r.logger.Warn("pull_failed", zap.String("peer", from.Name), zap.Error(err))
+			continue
+		}
+		batch := response.GetBatch()
+		if batch == nil || r.store(ctx, batch) {
+			return
+		}
+	}
+}
+
+// handOver waits until entryd has no update left for the new owners.
+func (r *replicationController) handOver() {
+	deadline := r.now() + handoverLimit
+	idle := 0
+	for r.now() < deadline && idle < idleBeforeEnd {
+		time.Sleep(replicationInterval)
+		r.mu.Lock()
+		pending := r.pending
+		peers := len(r.machine.Peers())
+		r.mu.Unlock()
+		if peers == 0 {
+			return
+		}
+		if pending == 0 {
+			idle++
+		} else {
+			idle = 0
+		}
+	}
+}
+
+// idleBeforeEnd is the number of looks without pending updates before a leaving
+// instance ends: 2 s, in which the announcement also reaches the peers.
+const idleBeforeEnd = 10
--- /dev/null
+++ b/internal/controller/watchers.go
@@ -0,0 +1,39 @@
+package controller
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"burdockrelay.example/burdockrelay/common"
+)
+
+// watchersPerDataCentre keeps the watches of 12 data centres at 36 of each kind.
+const watchersPerDataCentre = 3
+
+// watchers returns the instances that watch the platform for this data centre:
+// the ones with the highest rendezvous weight on the instance list that are not
+// known to be dead. Before the first list, the members known to be alive take
+// their place. The caller holds mu.
+func (c *core) watchers() []common.InstanceID {
+	var eligible []common.InstanceID
+	for _, info := range c.list {
+		if info.dataCentre == c.settings.DataCentre && !info.leaving && !c.machine.Dead(info.id) {
+			eligible = append(eligible, info.id)
+		}
+	}
+	if len(eligible) == 0 {
+		eligible = append(eligible, c.self)
+		for _, update := range c.machine.Peers() {
+			eligible = append(eligible, update.ID)
+		}
+	}
+	return rendezvous(xxhash.Sum64String(c.settings.DataCentre), eligible, watchersPerDataCentre)
+}
+
+// isWatcher reports whether this instance watches the platform.
+func (c *core) isWatcher() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.watchers(), c.self)
+}
--- a/internal/decision/membership/membership.go
+++ b/internal/decision/membership/membership.go
@@ -147,17 +147,19 @@
 
 // Machine is the membership state of one instance.
 type Machine struct {
-	config      Config
-	random      *rand.Rand
-	self        Update
-	records     map[common.InstanceID]*record
-	order       []common.InstanceID
-	round       []common.InstanceID
-	probes      map[uint64]probe
-	sequence    uint64
-	nextProbe   time.Duration
-	lastTick    time.Duration
-	lastChange  time.Duration
+	config     Config
+	random     *rand.Rand
+	self       Update
+	records    map[common.InstanceID]*record
+	order      []common.InstanceID
+	round      []common.InstanceID
+	probes     map[uint64]probe
+	sequence   uint64
+	nextProbe  time.Duration
+	lastTick   time.Duration
+	lastChange time.Duration
+	// lastFound is when a member last became known.
+	lastFound   time.Duration
 	confirmedAt time.Duration
 	confirmed   bool
 	lapsed      bool
@@ -185,6 +187,7 @@
 		nextProbe:  now,
 		lastTick:   now,
 		lastChange: now,
+		lastFound:  now,
 
 		selfChangedAt: now,
 	}
@@ -738,6 +741,9 @@
 		update.Peer = r.update.Peer
 		update.Entry = r.update.Entry
 	}
+	if !r.known {
+		m.lastFound = now
+	}
 	r.update = update
 	r.known = true
 	r.unansweredSince = now
@@ -845,6 +851,21 @@
 	return !ok
 }
 
+// Discovered reports whether a joining instance knows its peers: every listed
+// instance is known or the limit has passed, and none has become known for the
+// quiet time.
+func (m *Machine) Discovered(now, quiet, limit time.Duration) bool {
+	if now-m.lastFound < quiet {
+		return false
+	}
+	for _, r := range m.records {
+		if r.listed && !r.listLeaving && !r.known && now-r.unansweredSince < limit {
+			return false
+		}
+	}
+	return true
+}
+
 // Settled reports whether every listed instance answers and no change of the
 // view is under way.
 func (m *Machine) Settled(now time.Duration) bool {
