--- a/internal/controller/acknowledgement.go
+++ b/internal/controller/acknowledgement.go
@@ -40,10 +40,11 @@
 	Group      string `json:"group"`
 	DataCentre string `json:"dataCentre"`
 	// Beat changes with each renewal.
-	Beat  uint64    `json:"beat"`
-	Alive []string  `json:"alive"`
-	Dead  []string  `json:"dead"`
-	Acks  []ackSpec `json:"acks"`
+	Beat  uint64   `json:"beat"`
+	Alive []string `json:"alive"`
+	// Dead are the instances that were declared dead or have never answered.
+	Dead []string  `json:"dead"`
+	Acks []ackSpec `json:"acks"`
 }
 
 // reportController writes what a watcher knows about its group's
@@ -141,6 +142,9 @@
 			report.Acks = append(report.Acks, ackSpec{member.Name, ref.Number, ref.Hash, uint32(ack.Code), ack.InForce})
 		}
 	}
+	for _, silent := range r.machine.Silent(r.now()) {
+		report.Dead = append(report.Dead, silent.Name)
+	}
 	slices.Sort(report.Alive)
 	slices.Sort(report.Dead)
 	slices.SortFunc(report.Acks, func(a, b ackSpec) int { return strings.Compare(a.Instance, b.Instance) })
--- /dev/null
+++ b/internal/controller/fakes_test.go
@@ -0,0 +1,347 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"burdockrelay.example/burdockrelay/internal/platform"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+	"burdockrelay.example/burdockrelay/proto/entrypb"
+)
+
+// fakePlatform is a small object API with faults.
+type fakePlatform struct {
+	mu          sync.Mutex
+	version     uint64
+	collections map[string]map[string]*platform.Object
+	events      []fakeEvent
+	changed     chan struct{}
+	// down answers nothing; loseWrites drops the answers of the next writes
+	// after their effect.
+	down       bool
+	loseWrites int
+	delay      time.Duration
+	writes     map[string]int
+	server     *httptest.Server
+}
+
+type fakeEvent struct {
+	version    uint64
+	collection string
+	kind       string
+	object     platform.Object
+}
+
+func newFakePlatform(t *testing.T) *fakePlatform {
+	t.Helper()
+	f := &fakePlatform{
+		version:     1,
+		collections: map[string]map[string]*platform.Object{},
+		changed:     make(chan struct{}),
+		writes:      map[string]int{},
+	}
+	f.server = httptest.NewServer(f)
+	t.Cleanup(func() {
+		f.server.CloseClientConnections()
+		f.server.Close()
+	})
+	return f
+}
+
+func (f *fakePlatform) setDown(down bool) {
+	f.mu.Lock()
+	f.down = down
+	f.mu.Unlock()
+	if down {
+		f.server.CloseClientConnections()
+	}
+}
+
+func (f *fakePlatform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	down, delay := f.down, f.delay
+	f.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(delay)
+	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/apis/"+platform.APIVersion+"/"), "/")
+	name := ""
+	if len(parts) > 1 {
+		name = parts[1]
+	}
+	switch {
+	case r.Method == http.MethodGet && r.URL.Query().Get("watch") != "":
+		f.watch(w, r, parts[0])
+	case r.Method == http.MethodGet:
+		f.read(w, parts[0], name)
+	default:
+		f.write(w, r, parts[0], name)
+	}
+}
+
+func (f *fakePlatform) read(w http.ResponseWriter, collection, name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if name != "" {
+		object, found := f.collections[collection][name]
+		if !found {
+			reply(w, http.StatusNotFound, platform.Failure{Reason: "NotFound"})
+			return
+		}
+		reply(w, http.StatusOK, object)
+		return
+	}
+	list := platform.List{Metadata: platform.Metadata{ResourceVersion: strconv.FormatUint(f.version, 10)}}
+	for _, key := range slices.Sorted(maps.Keys(f.collections[collection])) {
+		list.Items = append(list.Items, *f.collections[collection][key])
+	}
+	reply(w, http.StatusOK, list)
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (f *fakePlatform) write(w http.ResponseWriter, r *http.Request, collection, name string) {
+	var object platform.Object
+	if r.Method != http.MethodDelete {
+		if err := json.NewDecoder(r.Body).Decode(&object); err != nil {
+			reply(w, http.StatusBadRequest, platform.Failure{Reason: "BadRequest"})
+			return
+		}
+		name = object.Metadata.Name
+	}
+	f.mu.Lock()
+	status, body := f.change(r.Method, collection, name, &object)
+	lose := status < http.StatusMultipleChoices && f.loseWrites > 0
+	if lose {
+		f.loseWrites--
+	}
+	f.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, status, body)
+}
+
+func (f *fakePlatform) change(method, collection, name string, object *platform.Object) (int, any) {
+	known, found := f.collections[collection][name]
+	switch {
+	case method == http.MethodPost && found:
+		return http.StatusConflict, platform.Failure{Reason: "AlreadyExists"}
+	case method != http.MethodPost && !found:
+		return http.StatusNotFound, platform.Failure{Reason: "NotFound"}
+	case method == http.MethodPut && known.Metadata.ResourceVersion != object.Metadata.ResourceVersion:
+		return http.StatusConflict, platform.Failure{Reason: "Conflict"}
+	case method == http.MethodDelete:
+		delete(f.collections[collection], name)
+		f.record(collection, platform.Deleted, known)
+		return http.StatusOK, platform.Failure{}
+	}
+	kind, status := platform.Modified, http.StatusOK
+	if method == http.MethodPost {
+		kind, status = platform.Added, http.StatusCreated
+	}
+	f.put(collection, kind, object)
+	return status, object
+}
+
+func (f *fakePlatform) put(collection, kind string, object *platform.Object) {
+	if f.collections[collection] == nil {
+		f.collections[collection] = map[string]*platform.Object{}
+	}
+	f.collections[collection][object.Metadata.Name] = object
+	f.writes[collection]++
+	f.record(collection, kind, object)
+}
+
+func (f *fakePlatform) record(collection, kind string, object *platform.Object) {
+	f.version++
+	if kind != platform.Deleted {
+		object.Metadata.ResourceVersion = strconv.FormatUint(f.version, 10)
+	}
+	f.events = append(f.events, fakeEvent{f.version, collection, kind, *object})
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fakePlatform) watch(w http.ResponseWriter, r *http.Request, collection string) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("resourceVersion"), 10, 64)
+	w.WriteHeader(http.StatusOK)
+	w.(http.Flusher).Flush()
+	for {
+		f.mu.Lock()
+		if f.down {
+			f.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		changed := f.changed
+		var pending []fakeEvent
+		for _, event := range f.events {
+			if event.version > after && event.collection == collection {
+				pending = append(pending, event)
+			}
+		}
+		f.mu.Unlock()
+		for _, event := range pending {
+			after = event.version
+			event.object.Metadata.ResourceVersion = strconv.FormatUint(event.version, 10)
+			encoded, _ := json.Marshal(event.object)
+			_ = json.NewEncoder(w).Encode(platform.Event{Type: event.kind, Object: encoded})
+		}
+		w.(http.Flusher).Flush()
+		select {
+		case <-r.Context().Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// setInstances replaces the instance list.
+func (f *fakePlatform) setInstances(group string, addresses map[string]string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.collections[platform.Instances] = map[string]*platform.Object{}
+	for name, address := range addresses {
+		spec, _ := json.Marshal(instanceSpec{Address: address, DataCentre: group, Group: group})
+		f.put(platform.Instances, platform.Added, &platform.Object{
+			Kind:     "Instance",
+			Metadata: platform.Metadata{Name: name},
+			Spec:     spec,
+			Status:   json.RawMessage(`{"state":"live"}`),
+		})
+	}
+}
+
+// fakeEntry is an entryd that records what it is told.
+type fakeEntry struct {
+	entrypb.Entry
+	mu        sync.Mutex
+	snapshot  *entrypb.ApplySnapshotRequest
+	releases  []uint64
+	leases    int
+	due       []*entrypb.ReplicationBatch
+	added     []*entrypb.ReplicationBatch
+	acked     map[uint32]uint64
+	pulled    []uint32
+	restarts  int
+	wasFenced bool
+	server    *httptest.Server
+}
+
+func newFakeEntry(t *testing.T) *fakeEntry {
+	t.Helper()
+	f := &fakeEntry{acked: map[uint32]uint64{}}
+	f.server = httptest.NewServer(entrypb.NewEntryServer(f))
+	t.Cleanup(func() {
+		f.server.CloseClientConnections()
+		f.server.Close()
+	})
+	return f
+}
+
+func (f *fakeEntry) ApplySnapshot(_ context.Context, r *entrypb.ApplySnapshotRequest) (*entrypb.ApplySnapshotResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.snapshot != nil && r.GetRelease() < f.snapshot.GetRelease() {
+		return &entrypb.ApplySnapshotResponse{ResultCode: uint32(resultcode.SnapshotOldRelease), Release: f.snapshot.GetRelease()}, nil
+	}
+	f.snapshot = r
+	if n := len(f.releases); n == 0 || f.releases[n-1] != r.GetRelease() {
+		f.releases = append(f.releases, r.GetRelease())
+	}
+	return &entrypb.ApplySnapshotResponse{Release: r.GetRelease()}, nil
+}
+
+func (f *fakeEntry) RenewLease(context.Context, *entrypb.RenewLeaseRequest) (*entrypb.RenewLeaseResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leases++
+	fenced := f.wasFenced
+	f.wasFenced = false
+	return &entrypb.RenewLeaseResponse{WasFenced: fenced}, nil
+}
+
+func (f *fakeEntry) TakeReplication(context.Context, *entrypb.TakeReplicationRequest) (*entrypb.TakeReplicationResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	due := f.due
+	f.due = nil
+	return &entrypb.TakeReplicationResponse{Batches: due}, nil
+}
+
+func (f *fakeEntry) AckReplication(_ context.Context, r *entrypb.AckReplicationRequest) (*entrypb.AckReplicationResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.acked[r.GetTarget()] = r.GetSequence()
+	return &entrypb.AckReplicationResponse{}, nil
+}
+
+func (f *fakeEntry) AddReplication(_ context.Context, r *entrypb.AddReplicationRequest) (*entrypb.AddReplicationResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.added = append(f.added, r.GetBatches()...)
+	return &entrypb.AddReplicationResponse{}, nil
+}
+
+func (f *fakeEntry) PullReplication(_ context.Context, r *entrypb.PullReplicationRequest) (*entrypb.PullReplicationResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pulled = append(f.pulled, r.GetJoiner())
+	return &entrypb.PullReplicationResponse{Batch: &entrypb.ReplicationBatch{Target: r.GetJoiner()}}, nil
+}
+
+func (f *fakeEntry) Stats(context.Context, *entrypb.StatsRequest) (*entrypb.StatsResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return &entrypb.StatsResponse{Release: f.snapshot.GetRelease()}, nil
+}
+
+// restart forgets everything, as a new entryd process does.
+func (f *fakeEntry) restart() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.snapshot = nil
+	f.wasFenced = true
+	f.restarts++
+}
+
+func (f *fakeEntry) release() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.snapshot.GetRelease()
+}
+
+func (f *fakeEntry) view() *entrypb.ApplySnapshotRequest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.snapshot
+}
+
+// eventually waits for a condition.
+func eventually(t *testing.T, limit time.Duration, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	for time.Now().Before(deadline) {
+		if condition() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("after %v still not: %s", limit, what)
+}
+
+func addressOf(i int) string { return fmt.Sprintf("127.0.0.%d", 11+i) }
--- a/internal/decision/membership/membership.go
+++ b/internal/decision/membership/membership.go
@@ -131,6 +131,7 @@
 	// unansweredSince starts the grace of a listed member without answer, and
 	// of a joining one.
 	unansweredSince time.Duration
+	failedProbes    int
 	sends           int
 	queued          bool
 }
@@ -356,6 +357,7 @@
 		if !found || now-p.sentAt >= m.config.ProbeInterval+m.config.ProbeTimeout {
 			delete(m.probes, sequence)
 			if found && p.requester == 0 {
+				r.failedProbes++
 				m.suspect(r, now)
 			}
 			continue
@@ -497,13 +499,15 @@
 	return nil, false
 }
 
-// nextSuspect returns the suspects in turn: each probe interval gives one of
-// them another chance to answer.
+// nextSuspect returns the suspects and the listed instances without an answer in
+// turn: each probe interval gives one of them another chance to answer.
 func (m *Machine) nextSuspect() *record {
 	n := len(m.order)
 	for range n {
 		m.suspectTurn = (m.suspectTurn + 1) % n
-		if r := m.records[m.order[m.suspectTurn]]; r.update.State == common.MemberSuspect {
+		r := m.records[m.order[m.suspectTurn]]
+		unanswered := r.listed && !r.known && r.update.Peer.IsValid() && r.failedProbes < silentProbes
+		if r.update.State == common.MemberSuspect || unanswered {
 			return r
 		}
 	}
@@ -816,6 +820,23 @@
 	return found && r.known && r.update.State == common.MemberDead
 }
 
+// silentProbes is the number of failed probes after which a listed instance that
+// has never answered counts as silent.
+const silentProbes = 3
+
+// Silent returns the listed instances that have never answered, although they
+// were probed and had the time in which a lease runs out. They hold no lease.
+func (m *Machine) Silent(now time.Duration) []Update {
+	var silent []Update
+	for _, id := range m.order {
+		r := m.records[id]
+		if r.listed && !r.known && r.failedProbes >= silentProbes && now-r.unansweredSince >= m.config.DeadAfter {
+			silent = append(silent, r.update)
+		}
+	}
+	return silent
+}
+
 // Lease returns how long the entry instance may act as owner from now on. It is
 // counted from the moment at which the newest answered probe was sent, so that a
 // peer is known to have heard this instance since. Without peers it is the full
