Keep probes within the budget of control bytes

Cause: while a group starts, full piggybacks and repeated acknowledgements used the budget up, 105 to 129 datagrams were dropped in 5 s on four instances, and a probe that was not sent counted as unanswered (15 to 17 changes of own state). Now piggyback shrinks with the budget that is left, an unsent probe is forgotten, and acknowledgements of releases are repeated once.

--- a/internal/controller/configuration.go
+++ b/internal/controller/configuration.go
@@ -38,10 +38,11 @@
 	// refusedRetryInterval is the time before a release that could not be
 	// loaded is fetched again, in case the transfer was at fault.
 	refusedRetryInterval = 10 * time.Second
-	// ackRepeats is how often a new acknowledgement is sent to each watcher.
-	ackRepeats = 3
+	// ackRepeats is how often a new acknowledgement is sent to each watcher;
+	// the normal probes carry it as well.
+	ackRepeats = 2
 	// ackRepeatInterval is the time between the repeats.
-	ackRepeatInterval = 500 * time.Millisecond
+	ackRepeatInterval = time.Second
 	// keptReleases bounds the bodies in memory: in force, accepted, prepared.
 	keptReleases = 3
 )
@@ -486,7 +487,6 @@
 	c.metrics.release.Set(float64(ref.Number))
 	c.logger.Info("release_applied", zap.Uint64("release", ref.Number), zap.String("hash", known.ref.Hash), zap.Int("services", len(c.services)))
 	c.snapshotChanged()
-	c.tomb.Go(c.sendAck)
 }
 
 // peerService answers the Peer service.
--- a/internal/controller/gossip.go
+++ b/internal/controller/gossip.go
@@ -19,6 +19,9 @@
 	// endpoint update takes about 26 bytes and a drain about 14.
 	endpointsPerDatagram = 5
 	drainsPerDatagram    = 3
+	// minGossipAllowance is the allowance below which datagrams carry
+	// membership and releases only.
+	minGossipAllowance = 200
 	// gossipFactor scales how often an item is passed on with the logarithm of
 	// the group's size.
 	gossipFactor = 3
@@ -174,6 +177,9 @@
 	if c.ownAck.Ref.Number > 0 {
 		p.ReleaseAcks = append(p.ReleaseAcks, c.encodeOwnAck())
 	}
+	if c.transport.PiggybackAllowance() < minGossipAllowance {
+		return
+	}
 	p.Endpoints = c.gossip.takeReports(members, c.now().Milliseconds())
 	p.Drains = c.gossip.takeDrains(c.drains, members)
 }
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -60,6 +60,7 @@
 func (m *membershipController) handle(from netip.AddrPort, message membership.Message, p *peerpb.Piggyback) {
 	m.mu.Lock()
 	version := m.machine.Version()
+	m.machine.SetAllowance(m.transport.PiggybackAllowance())
 	outputs := m.machine.Receive(m.now(), from, message)
 	m.absorb(p)
 	m.inputs[inputPeers] = input{at: m.now(), seen: true, state: "ok"}
@@ -85,8 +86,15 @@
 
 func (c *core) sendAll(outputs []membership.Output, datagrams []*peerpb.Datagram) {
 	for i, d := range datagrams {
-		if err := c.transport.Send(outputs[i].Address, d); err != nil {
-			c.logger.Debug("datagram_not_sent", zap.Error(err))
+		err := c.transport.Send(outputs[i].Address, d)
+		if err == nil {
+			continue
+		}
+		c.logger.Debug("datagram_not_sent", zap.Error(err))
+		if outputs[i].Message.Kind == membership.Ping {
+			c.mu.Lock()
+			c.machine.Unsent(outputs[i].Message.Sequence)
+			c.mu.Unlock()
 		}
 	}
 }
@@ -107,6 +115,7 @@
 func (m *membershipController) tickOnce() {
 	m.mu.Lock()
 	version := m.machine.Version()
+	m.machine.SetAllowance(m.transport.PiggybackAllowance())
 	outputs := m.machine.Tick(m.now())
 	datagrams := m.encode(outputs)
 	changed := m.machine.Version() != version
--- a/internal/decision/membership/membership.go
+++ b/internal/decision/membership/membership.go
@@ -173,6 +173,8 @@
 	// state.
 	selfChangedAt time.Duration
 	announcements uint64
+	// allowance bounds the piggyback further when few bytes may be sent.
+	allowance int
 }
 
 // New returns a machine in state joining. The incarnation is a first guess: a
@@ -191,6 +193,7 @@
 		lastFound:  now,
 
 		selfChangedAt: now,
+		allowance:     config.JoinPiggybackBytes,
 	}
 }
 
@@ -201,6 +204,10 @@
 // lapse of its lease or a declaration as dead.
 func (m *Machine) Rejoins() uint64 { return m.rejoins }
 
+// SetAllowance bounds the updates of the next datagrams, so that probes still fit
+// into the budget of control bytes while many updates wait.
+func (m *Machine) SetAllowance(bytes int) { m.allowance = bytes }
+
 // Version grows with each change of the view.
 func (m *Machine) Version() uint64 { return m.version }
 
@@ -480,6 +487,12 @@
 	return m.sendProbe(r, now, nil)
 }
 
+// Unsent forgets a probe that could not be sent, so that its missing answer is not
+// taken for a failure of the member.
+func (m *Machine) Unsent(sequence uint64) {
+	delete(m.probes, sequence)
+}
+
 // nextTarget returns the next member of a shuffled round. Dead members stay in
 // the round while they are listed, so that one that returns is found even when
 // it knows no peer.
@@ -529,6 +542,7 @@
 	if joining {
 		limit = m.config.JoinPiggybackBytes
 	}
+	limit = min(limit, m.allowance)
 	var updates []Update
 	if m.announcesSelf(to) {
 		updates = append(updates, m.self)
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -26,12 +26,14 @@
 	// bytes arrive as are sent, so both together stay at 4 KB/s.
 	SendBytesPerSecond = 2048
 	// sendBurst covers the datagrams of a membership change.
-	sendBurst = 4096
+	sendBurst = 2048
 	// membershipReserve is left for membership by replication.
 	membershipReserve = 1200
-	// membershipDebt is how far membership may overdraw the budget before its
-	// datagrams are dropped as well.
-	membershipDebt = -2048
+	// ackDebt and pingDebt are how far acknowledgements and probes may overdraw
+	// the budget before they are dropped as well. A missing acknowledgement
+	// makes the sender a suspect, a probe that is not sent only delays.
+	ackDebt  = -2048
+	pingDebt = -1024
 )
 
 // Meter counts control bytes by direction and message kind.
@@ -148,6 +150,19 @@
 	return int(t.limiter.TokensAt(time.Now())) - membershipReserve
 }
 
+// datagramReserve is what a probe takes without piggyback.
+const datagramReserve = 250
+
+// PiggybackAllowance returns how many bytes of piggyback the next datagram may
+// carry: half of the budget that is left, so that the probes to come fit.
+func (t *Transport) PiggybackAllowance() int {
+	left := int(t.limiter.TokensAt(time.Now())) - datagramReserve
+	return max(0, left/piggybackShare)
+}
+
+// piggybackShare divides the remaining budget among the datagrams to come.
+const piggybackShare = 2
+
 // Send encodes and sends one datagram. It reports an error when the datagram is
 // too long or the budget of bytes is used up.
 func (t *Transport) Send(to netip.AddrPort, d *peerpb.Datagram) error {
@@ -162,7 +177,7 @@
 		return resultcode.Errorf(resultcode.PeerBadDatagram, "%s of %d bytes exceeds %d", kind, len(encoded), MaxDatagram)
 	}
 	now := time.Now()
-	if t.limiter.TokensAt(now) < membershipDebt {
+	if t.limiter.TokensAt(now) < lowestTokens(d) {
 		t.meter.dropped.WithLabelValues("budget").Inc()
 		return resultcode.Errorf(resultcode.PeerUnreachable, "%s exceeds the budget of control bytes", kind)
 	}
@@ -175,6 +190,17 @@
 	return nil
 }
 
+func lowestTokens(d *peerpb.Datagram) float64 {
+	switch d.Kind.(type) {
+	case *peerpb.Datagram_Ack, *peerpb.Datagram_ReplicationAck:
+		return ackDebt
+	case *peerpb.Datagram_Ping:
+		return pingDebt
+	default:
+		return 0
+	}
+}
+
 // Receive returns the next valid datagram of the group. Others are counted and
 // skipped. It returns net.ErrClosed after Close.
 func (t *Transport) Receive() (netip.AddrPort, *peerpb.Datagram, error) {
