--- a/internal/decision/membership/membership.go
+++ b/internal/decision/membership/membership.go
@@ -17,8 +17,7 @@
 type Config struct {
 	// ProbeInterval is the time between two direct probes.
 	ProbeInterval time.Duration
-	// JoinProbeInterval is the time between probes while joining. Answers to a
-	// joining member are full datagrams, so 330 ms receives about 3.6 KB/s.
+	// JoinProbeInterval is the time between probes while joining.
 	JoinProbeInterval time.Duration
 	// ProbeTimeout is the wait for a direct answer before indirect probes.
 	ProbeTimeout time.Duration
@@ -69,13 +68,36 @@
 	Peer  netip.AddrPort
 }
 
-// updateOverhead is the encoded size of an update without its name: number,
-// incarnation, state and two addresses in text form.
-const updateOverhead = 66
+// Encoded sizes of an update: number, incarnation and state; and two addresses in
+// text form.
+const (
+	compactSize   = 20
+	addressesSize = 46
+)
 
 // Size returns an upper estimate of the encoded size.
 func (u *Update) Size() int {
-	return updateOverhead + len(u.Name)
+	if u.Name == "" {
+		return compactSize
+	}
+	return compactSize + addressesSize + len(u.Name)
+}
+
+// compact returns the update without what the instance list tells everyone.
+func (u Update) compact() Update {
+	u.Name = ""
+	u.Entry = netip.AddrPort{}
+	u.Peer = netip.AddrPort{}
+	return u
+}
+
+// told returns what to pass on about a member: the name and addresses of a
+// listed one are left out, which makes an update a quarter as long.
+func (r *record) told() Update {
+	if r.listed {
+		return r.update.compact()
+	}
+	return r.update
 }
 
 // Candidate is one instance of the platform's instance list.
@@ -167,6 +189,7 @@
 	listVersion uint64
 	listed      bool
 	suspectTurn int
+	probeTurns  int
 	rejoins     uint64
 	version     uint64
 	// selfChangedAt and announcements decide which datagrams carry the own
@@ -365,7 +388,7 @@
 			delete(m.probes, sequence)
 			if found && p.requester == 0 {
 				r.failedProbes++
-				m.suspect(r, now)
+				m.suspect(r, p.sentAt, now)
 			}
 			continue
 		}
@@ -411,13 +434,14 @@
 	return r.known && r.update.State != common.MemberDead && r.update.State != common.MemberSuspect
 }
 
-func (m *Machine) suspect(r *record, now time.Duration) {
+// suspect starts a suspicion at the time of the probe that had no answer.
+func (m *Machine) suspect(r *record, since, now time.Duration) {
 	if !r.reachable() {
 		return
 	}
 	r.base = r.update.State
 	r.update.State = common.MemberSuspect
-	r.suspectedAt = now
+	r.suspectedAt = since
 	r.unansweredSince = now
 	r.enqueue()
 	m.changed(now)
@@ -428,14 +452,20 @@
 	r.sends = 0
 }
 
-// checkSuspects declares members dead whose last response is old enough.
+// checkSuspects declares members dead whose last response is old enough. An
+// isolated instance cannot tell the death of all others from its own cut; it
+// waits for the whole grace, so that it spreads no false declarations.
 func (m *Machine) checkSuspects(now time.Duration) {
+	wait := m.config.DeadAfter
+	if m.Isolated(now) {
+		wait = m.config.ListGrace
+	}
 	for _, id := range m.order {
 		r := m.records[id]
 		if r.update.State != common.MemberSuspect {
 			continue
 		}
-		if now-r.lastSign() >= m.config.DeadAfter {
+		if now-r.lastSign() >= wait {
 			m.declareDead(r, now)
 		}
 	}
@@ -451,7 +481,6 @@
 
 func (m *Machine) declareDead(r *record, now time.Duration) {
 	r.update.State = common.MemberDead
-	r.unansweredSince = now
 	r.enqueue()
 	m.changed(now)
 }
@@ -512,14 +541,20 @@
 	return nil, false
 }
 
+// unansweredEvery is the share of probe intervals that try an instance without an
+// answer; more would use the budget up when a whole group starts.
+const unansweredEvery = 2
+
 // nextSuspect returns the suspects and the listed instances without an answer in
 // turn: each probe interval gives one of them another chance to answer.
 func (m *Machine) nextSuspect() *record {
 	n := len(m.order)
+	m.probeTurns++
+	withUnanswered := m.self.State == common.MemberServing && m.probeTurns%unansweredEvery == 0
 	for range n {
 		m.suspectTurn = (m.suspectTurn + 1) % n
 		r := m.records[m.order[m.suspectTurn]]
-		unanswered := r.listed && !r.known && r.update.Peer.IsValid() && r.failedProbes < silentProbes
+		unanswered := withUnanswered && r.listed && !r.known && r.update.Peer.IsValid() && r.failedProbes < silentProbes
 		if r.update.State == common.MemberSuspect || unanswered {
 			return r
 		}
@@ -549,16 +584,17 @@
 		limit -= m.self.Size()
 	}
 	if to.known && !to.reachable() {
-		updates = append(updates, to.update)
-		limit -= to.update.Size()
+		told := to.update.compact()
+		updates = append(updates, told)
+		limit -= told.Size()
 	}
 	for _, r := range m.leastSent() {
-		size := r.update.Size()
-		if size > limit {
+		told := r.told()
+		if told.Size() > limit {
 			break
 		}
-		limit -= size
-		updates = append(updates, r.update)
+		limit -= told.Size()
+		updates = append(updates, told)
 		m.countSend(r)
 	}
 	if joining {
@@ -603,6 +639,10 @@
 	}
 }
 
+// fullShare is the share of updates to a joining member that carry addresses, for
+// one that has no instance list because the platform is out.
+const fullShare = 4
+
 // appendRandom fills a datagram to a joining member with random members, so
 // that it learns the view without probing everyone.
 func (m *Machine) appendRandom(updates []Update, to common.InstanceID, limit int) []Update {
@@ -611,11 +651,15 @@
 		if r.queued || !r.known || r.update.ID == to || r.update.State == common.MemberDead {
 			continue
 		}
-		limit -= r.update.Size()
+		told := r.told()
+		if m.random.IntN(fullShare) == 0 {
+			told = r.update
+		}
+		limit -= told.Size()
 		if limit < 0 {
 			break
 		}
-		updates = append(updates, r.update)
+		updates = append(updates, told)
 	}
 	return updates
 }
@@ -626,7 +670,7 @@
 		return nil
 	}
 	for _, update := range message.Updates {
-		m.apply(update, message.From, now)
+		m.apply(update, now)
 	}
 	sender, found := m.records[message.From]
 	if !found {
@@ -688,10 +732,7 @@
 		return nil
 	}
 	delete(m.probes, message.AckSequence)
-	if !m.confirmed || p.sentAt > m.confirmedAt {
-		m.confirmed = true
-		m.confirmedAt = p.sentAt
-	}
+	m.confirm(p.sentAt, now)
 	if subject, ok := m.records[message.Subject]; ok {
 		subject.lastHeard = now
 		subject.heard = true
@@ -705,26 +746,50 @@
 	return []Output{answer}
 }
 
-func (m *Machine) apply(update Update, from common.InstanceID, now time.Duration) {
+// ownGap is the time without confirmed contact after which this instance may have
+// been cut off itself. Answers to its probes were lost then, so the suspicions of
+// that time start again.
+const ownGap = 1500 * time.Millisecond
+
+func (m *Machine) confirm(sentAt, now time.Duration) {
+	if m.confirmed && now-m.confirmedAt >= ownGap {
+		m.extendSuspicions(now)
+	}
+	if !m.confirmed || sentAt > m.confirmedAt {
+		m.confirmed = true
+		m.confirmedAt = sentAt
+	}
+}
+
+func (m *Machine) apply(update Update, now time.Duration) {
 	if update.ID == m.self.ID {
 		m.applySelf(update, now)
 		return
 	}
 	r, found := m.records[update.ID]
 	if !found {
-		if update.State == common.MemberDead {
+		if update.State == common.MemberDead || !update.Peer.IsValid() {
 			return
 		}
 		r = m.insert(Update{ID: update.ID, State: common.MemberDead}, now)
 	}
 	if r.known && !supersedes(&update, &r.update) {
+		m.countDuplicate(update, r)
 		return
 	}
 	if m.contradictsOwnEvidence(update, r, now) {
-		m.suspect(r, now)
+		m.suspect(r, now, now)
 		return
 	}
-	m.store(r, update, from, now)
+	m.store(r, update, now)
+}
+
+// countDuplicate counts an update that a peer has already as sent: it does not
+// need to be passed on as often.
+func (m *Machine) countDuplicate(update Update, r *record) {
+	if r.queued && update.Incarnation == r.update.Incarnation && update.State == r.update.State {
+		m.countSend(r)
+	}
 }
 
 // contradictsOwnEvidence rejects a declaration as dead of a member that
@@ -742,7 +807,7 @@
 	return update.State > known.State
 }
 
-func (m *Machine) store(r *record, update Update, from common.InstanceID, now time.Duration) {
+func (m *Machine) store(r *record, update Update, now time.Duration) {
 	if update.State != common.MemberDead && update.State != common.MemberSuspect {
 		r.base = update.State
 	}
@@ -753,11 +818,10 @@
 	if update.State == common.MemberSuspect {
 		r.suspectedAt = now
 	}
-	// The sender's own word about its address is always used; hearsay only
-	// fills in what is missing.
-	if from != update.ID && !update.Peer.IsValid() {
-		update.Peer = r.update.Peer
+	if update.Name == "" {
+		update.Name = r.update.Name
 		update.Entry = r.update.Entry
+		update.Peer = r.update.Peer
 	}
 	if !r.known {
 		m.lastFound = now
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -80,7 +80,7 @@
 }
 
 // decodeUpdate refuses updates without identity or with an unknown state, which
-// would otherwise enter the view.
+// would otherwise enter the view. An update without a name has no addresses.
 func decodeUpdate(u *peerpb.MemberUpdate) (membership.Update, bool) {
 	update := membership.Update{
 		ID:          common.InstanceID(u.GetInstance()),
@@ -88,7 +88,8 @@
 		State:       common.MemberState(u.GetState()),
 		Name:        u.GetName(),
 	}
-	if update.ID == 0 || update.ID != common.InstanceIDOf(update.Name) || u.GetState() > entrypb.MemberState_MEMBER_STATE_DEAD {
+	named := update.Name == "" || update.ID == common.InstanceIDOf(update.Name)
+	if update.ID == 0 || !named || u.GetState() > entrypb.MemberState_MEMBER_STATE_DEAD {
 		return update, false
 	}
 	update.Entry, _ = netip.ParseAddrPort(u.GetEntryAddress())
--- /dev/null
+++ b/internal/propertytest/propertytest.go
@@ -0,0 +1,47 @@
+// Package propertytest sets up the property tests: a fixed seed in CI that a
+// failure prints, and more cases for a longer run.
+package propertytest
+
+import (
+	"os"
+	"strconv"
+	"testing"
+
+	"github.com/leanovate/gopter"
+)
+
+const (
+	// DefaultSeed is the seed of CI runs.
+	DefaultSeed = 20261204
+	// SeedVariable sets another seed, SoakVariable multiplies the cases.
+	SeedVariable = "BURDOCK_SEED"
+	SoakVariable = "BURDOCK_SOAK"
+)
+
+// Run checks the properties with the given number of cases.
+func Run(t *testing.T, cases int, add func(*gopter.Properties)) {
+	t.Helper()
+	seed := number(t, SeedVariable, DefaultSeed)
+	factor := number(t, SoakVariable, 1)
+	parameters := gopter.DefaultTestParametersWithSeed(seed)
+	parameters.MinSuccessfulTests = cases * int(factor)
+	parameters.MaxShrinkCount = 50
+	properties := gopter.NewProperties(parameters)
+	add(properties)
+	if !properties.Run(gopter.ConsoleReporter(testing.Verbose())) {
+		t.Errorf("property failed; repeat with %s=%d %s=%d", SeedVariable, seed, SoakVariable, factor)
+	}
+}
+
+func number(t *testing.T, variable string, standard int64) int64 {
+	t.Helper()
+	text := os.Getenv(variable)
+	if text == "" {
+		return standard
+	}
+	value, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		t.Fatalf("%s: %v", variable, err)
+	}
+	return value
+}
