--- a/Makefile
+++ b/Makefile
@@ -4,18 +4,16 @@
 # The shared install is used when it is there, so that fresh worktrees do not
 # compile the linter again.
 GOLANGCI := $(firstword $(wildcard $(shell go env GOPATH)/bin/golangci-lint) $(TOOLS)/golangci-lint)
-PACKAGES := ./...
 
 .PHONY: build test race lint fmt demo soak bench experiment clean tools
 
 build:
 	go build -o $(BIN)/ ./binaries/...
 	cd standins && go build -o ../$(BIN)/ ./...
+	cd experiments && go build -o ../$(BIN)/ ./...
 
 test:
-	go vet $(PACKAGES)
-	go test -race $(PACKAGES)
-	cd standins && go vet ./... && go test ./...
+	scripts/test.sh
 
 tools: $(GOLANGCI)
 
@@ -23,9 +21,11 @@
 	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
 
 lint: tools
+	scripts/check-tree.sh
 	$(GOLANGCI) fmt --diff
 	$(GOLANGCI) run
 	cd standins && $(GOLANGCI) run --config ../.golangci.yml
+	cd experiments && $(GOLANGCI) run --config ../.golangci.yml
 
 fmt: tools
 	$(GOLANGCI) fmt
@@ -33,5 +33,9 @@
 demo: build
 	scripts/demo.sh
 
+# Compares the load policies on the users' workloads; writes CSV and plots.
+experiment: build
+	$(BIN)/policy-experiment -out out/experiment
+
 clean:
 	rm -rf $(BIN) out
