--- /dev/null
+++ b/internal/settings/documentation_test.go
@@ -0,0 +1,44 @@
+package settings
+
+import (
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"burdockrelay.example/burdockrelay/internal/config"
+)
+
+// Guards against a field that the reference does not describe.
+func TestReferenceDescribesEveryField(t *testing.T) {
+	content, err := os.ReadFile("../../docs/configuration.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, object := range []any{
+		Entry{}, Control{}, Client{}, config.Place{}, config.Service{}, config.BackendSet{}, config.Rule{},
+	} {
+		checkFields(t, reflect.TypeOf(object), string(content))
+	}
+}
+
+func checkFields(t *testing.T, object reflect.Type, content string) {
+	t.Helper()
+	for i := range object.NumField() {
+		field := object.Field(i)
+		name := field.Tag.Get("yaml")
+		if name == "" || name == "-" {
+			continue
+		}
+		if !strings.Contains(content, "| `"+name+"` |") {
+			t.Errorf("%s.%s: field %s has no row", object.Name(), field.Name, name)
+		}
+		target := field.Type
+		if target.Kind() == reflect.Slice {
+			target = target.Elem()
+		}
+		if target.Kind() == reflect.Struct && !strings.HasPrefix(target.PkgPath(), "net/") {
+			checkFields(t, target, content)
+		}
+	}
+}
