Answer history within 3 s and mark certain failures of a publication

Errors of the server now always carry a result code, which burdockctl takes as proof that nothing was published.

--- a/internal/admin/convert.go
+++ b/internal/admin/convert.go
@@ -33,9 +33,6 @@
 	return converted
 }
 
-func withCode(err twirp.Error, code resultcode.Code, ok bool) twirp.Error {
-	if !ok {
-		return err
-	}
+func withCode(err twirp.Error, code resultcode.Code) twirp.Error {
 	return err.WithMeta(ResultCodeMeta, strconv.FormatUint(uint64(code), 10))
 }
--- a/internal/admin/http.go
+++ b/internal/admin/http.go
@@ -163,5 +163,5 @@
 
 func fail(response http.ResponseWriter, kind twirp.ErrorCode, code resultcode.Code, message string) {
 	// The client may be gone; there is nobody else to tell.
-	_ = twirp.WriteError(response, withCode(twirp.NewError(kind, message), code, true))
+	_ = twirp.WriteError(response, withCode(twirp.NewError(kind, message), code))
 }
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -20,7 +20,10 @@
 	DefaultPublishTimeout = 20 * time.Second
 	maxPublishTimeout     = 5 * time.Minute
 	defaultHistoryLimit   = 20
-	maxHistoryLimit       = 1_000
+	// historyTimeout bounds the wait for the platform. burdockctl gives up
+	// after 10 s, so the release in force must answer before.
+	historyTimeout  = 3 * time.Second
+	maxHistoryLimit = 1_000
 )
 
 // Server implements adminpb.Administration.
@@ -28,13 +31,15 @@
 	control Control
 	logger  *zap.Logger
 	now     func() time.Time
+	// historyTimeout bounds the wait for the platform's part of the history.
+	historyTimeout time.Duration
 }
 
 var _ adminpb.Administration = (*Server)(nil)
 
 // NewServer returns a server of the administration API.
 func NewServer(control Control, logger *zap.Logger) *Server {
-	return &Server{control: control, logger: logger, now: time.Now}
+	return &Server{control: control, logger: logger, now: time.Now, historyTimeout: historyTimeout}
 }
 
 func filesOf(files []*adminpb.File) []config.File {
@@ -162,6 +167,8 @@
 		limit = defaultHistoryLimit
 	}
 	accepted := s.control.Accepted()
+	ctx, cancel := context.WithTimeout(ctx, s.historyTimeout)
+	defer cancel()
 	releases, err := s.control.History(ctx, limit)
 	if err != nil {
 		if accepted == nil {
@@ -230,13 +237,18 @@
 const ResultCodeMeta = "result_code"
 
 func badRequest(argument, message string) error {
-	return withCode(twirp.InvalidArgumentError(argument, message), resultcode.AdminBadRequest, true)
+	return withCode(twirp.InvalidArgumentError(argument, message), resultcode.AdminBadRequest)
 }
 
+// twirpError adds the result code, which tells a client that the error is the
+// server's own and not one of the way to it.
 func twirpError(err error) error {
 	code, ok := resultcode.Of(err)
+	if !ok {
+		code = resultcode.AdminUnavailable
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
-		return withCode(twirp.NewError(twirp.DeadlineExceeded, err.Error()), code, ok)
+		return withCode(twirp.NewError(twirp.DeadlineExceeded, err.Error()), code)
 	}
-	return withCode(twirp.NewError(twirp.Unavailable, err.Error()), code, ok)
+	return withCode(twirp.NewError(twirp.Unavailable, err.Error()), code)
 }
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -46,6 +46,8 @@
 	oldest   uint64
 	// kept is the number of releases that the platform keeps, 0 for all.
 	kept int
+	// frozen makes the platform accept requests without an answer.
+	frozen bool
 }
 
 func (f *fakeControl) OldestInForce() uint64 { return f.oldest }
@@ -110,13 +112,17 @@
 	return &adminpb.StatusResponse{DataCentre: "fukuoka"}, f.failure
 }
 
-func (f *fakeControl) History(_ context.Context, limit int) ([]*adminpb.ReleaseSummary, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+func (f *fakeControl) History(ctx context.Context, limit int) ([]*adminpb.ReleaseSummary, error) {
 	var summaries []*adminpb.ReleaseSummary
 	if f.failure != nil {
 		return nil, f.failure
 	}
+	if f.frozen {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	oldest := 0
 	if f.kept > 0 {
 		oldest = max(0, len(f.accepted)-f.kept)
@@ -484,6 +490,10 @@
 	control.failure = resultcode.Errorf(resultcode.PlatformUnreachable, "no answer")
 	_, err := client.Publish(t.Context(), &adminpb.PublishRequest{Files: files(1), Author: "aiko"})
 	wantTwirp(t, err, twirp.Unavailable, resultcode.PlatformUnreachable)
+	// burdockctl takes an error with a code as proof that nothing was published.
+	control.failure = fmt.Errorf("read the pointer: %w", context.DeadlineExceeded)
+	_, err = client.Publish(t.Context(), &adminpb.PublishRequest{Files: files(1), Author: "aiko"})
+	wantTwirp(t, err, twirp.DeadlineExceeded, resultcode.AdminUnavailable)
 }
 
 // Guards against a drain of an endpoint that does not exist.
@@ -574,3 +584,21 @@
 		}
 	}
 }
+
+// Guards against a history that waits for a frozen platform until the client
+// gives up.
+func TestHistoryAnswersWhileThePlatformIsFrozen(t *testing.T) {
+	control := newFake()
+	server := NewServer(control, zap.NewNop())
+	server.historyTimeout = 50 * time.Millisecond
+	if _, err := server.Publish(t.Context(), &adminpb.PublishRequest{Files: files(1), Author: "aiko"}); err != nil {
+		t.Fatal(err)
+	}
+	control.frozen = true
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	response, err := server.History(ctx, &adminpb.HistoryRequest{})
+	if err != nil || len(response.GetReleases()) != 1 || !response.GetReleases()[0].GetInForce() {
+		t.Fatal(response, err)
+	}
+}
--- a/internal/config/encode.go
+++ b/internal/config/encode.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"reflect"
 	"time"
 
 	"burdockrelay.example/burdockrelay/internal/resultcode"
@@ -158,9 +157,7 @@
 	if _, err := time.Parse(time.RFC3339Nano, r.CreatedAt); err != nil {
 		return resultcode.Errorf(resultcode.ConfigOutOfRange, "release %d: time of creation: %w", r.Number, err)
 	}
-	sorted := r.clone()
-	sorted.sort()
-	if !reflect.DeepEqual(sorted, r.Configuration) {
+	if !r.isSorted() {
 		return resultcode.Errorf(resultcode.ConfigSyntax, "release %d: objects are not sorted", r.Number)
 	}
 	if err := r.validateValues(); err != nil {
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -162,16 +162,41 @@
 	return "", root.Line
 }
 
+func byPlace(a, b Place) int       { return strings.Compare(a.Name, b.Name) }
+func byPolicy(a, b Policy) int     { return strings.Compare(a.Name, b.Name) }
+func byService(a, b Service) int   { return strings.Compare(a.Name, b.Name) }
+func bySet(a, b BackendSet) int    { return strings.Compare(a.Name, b.Name) }
+func byRule(a, b Rule) int         { return strings.Compare(a.Name, b.Name) }
+func byEndpoint(a, b Endpoint) int { return strings.Compare(a.Name, b.Name) }
+
+// sort puts the objects into the canonical order.
 func (c *Configuration) sort() {
-	slices.SortFunc(c.Places, func(a, b Place) int { return strings.Compare(a.Name, b.Name) })
-	slices.SortFunc(c.Policies, func(a, b Policy) int { return strings.Compare(a.Name, b.Name) })
-	slices.SortFunc(c.Services, func(a, b Service) int { return strings.Compare(a.Name, b.Name) })
-	slices.SortFunc(c.BackendSets, func(a, b BackendSet) int { return strings.Compare(a.Name, b.Name) })
-	slices.SortFunc(c.Rules, func(a, b Rule) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.Places, byPlace)
+	slices.SortFunc(c.Policies, byPolicy)
+	slices.SortFunc(c.Services, byService)
+	slices.SortFunc(c.BackendSets, bySet)
+	slices.SortFunc(c.Rules, byRule)
 	for i := range c.BackendSets {
-		slices.SortFunc(c.BackendSets[i].Endpoints, func(a, b Endpoint) int { return strings.Compare(a.Name, b.Name) })
+		slices.SortFunc(c.BackendSets[i].Endpoints, byEndpoint)
 	}
 	for i := range c.Rules {
 		slices.Sort(c.Rules[i].Places)
 	}
 }
+
+// isSorted reports whether the objects are in the canonical order.
+func (c *Configuration) isSorted() bool {
+	for i := range c.BackendSets {
+		if !slices.IsSortedFunc(c.BackendSets[i].Endpoints, byEndpoint) {
+			return false
+		}
+	}
+	for i := range c.Rules {
+		if !slices.IsSorted(c.Rules[i].Places) {
+			return false
+		}
+	}
+	return slices.IsSortedFunc(c.Places, byPlace) && slices.IsSortedFunc(c.Policies, byPolicy) &&
+		slices.IsSortedFunc(c.Services, byService) && slices.IsSortedFunc(c.BackendSets, bySet) &&
+		slices.IsSortedFunc(c.Rules, byRule)
+}
--- a/internal/config/scale_test.go
+++ b/internal/config/scale_test.go
@@ -93,3 +93,37 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+// BenchmarkDecodeRelease measures what every instance does for each release at
+// the target scale.
+func BenchmarkDecodeRelease(b *testing.B) {
+	configuration, faults := Parse([]File{{Name: "scale.yaml", Content: []byte(targetScale(1, 1_900, 14_000))}})
+	if len(faults) > 0 {
+		b.Fatal(faults)
+	}
+	release, faults := BuildRelease(configuration, nil, ReleaseInfo{Author: "a", CreatedAt: testTime})
+	if len(faults) > 0 {
+		b.Fatal(faults)
+	}
+	body, _, err := release.Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := DecodeRelease(body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkParse measures what a publication at the target scale takes.
+func BenchmarkParse(b *testing.B) {
+	files := []File{{Name: "scale.yaml", Content: []byte(targetScale(1, 1_900, 14_000))}}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, faults := Parse(files); len(faults) > 0 {
+			b.Fatal(faults)
+		}
+	}
+}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -30,6 +31,9 @@
 	accepted []*config.Release
 	hashes   []string
 	calls    atomic.Int32
+	// result and failure replace the outcome of publications.
+	result  *admin.PublishResult
+	failure error
 	// unconfirmed makes the next publication report PublishUnconfirmed.
 	unconfirmed bool
 	status      *adminpb.StatusResponse
@@ -47,6 +51,9 @@
 
 func (f *fakeControl) Publish(_ context.Context, c *config.Configuration, base uint64, info config.ReleaseInfo) (admin.PublishResult, error) {
 	f.calls.Add(1)
+	if f.result != nil || f.failure != nil {
+		return *cmp.Or(f.result, &admin.PublishResult{}), f.failure
+	}
 	newest := f.Accepted()
 	if base != 0 && newest.Number != base {
 		return admin.PublishResult{
@@ -377,6 +384,62 @@
 	wantExit(t, ExitUnconfirmed, exit, stdout, stderr)
 }
 
+// Guards against outcomes without release that exit with 0, hide their reason,
+// or send the operator to the history although the outcome is certain.
+func TestPublishThatIsCertainlyNotAccepted(t *testing.T) {
+	cases := map[string]struct {
+		result  *admin.PublishResult
+		failure error
+		exit    ExitCode
+		parts   []string
+	}{
+		"refused": {
+			&admin.PublishResult{Code: resultcode.PublishRefused, Message: "refused by oita-2", RefusedBy: []string{"oita-2"}},
+			nil, ExitFailed,
+			[]string{"code 2201", "refused by oita-2", "nothing was published"},
+		},
+		"timeout": {
+			&admin.PublishResult{Code: resultcode.PublishTimeout, Message: "no acknowledgement in time from oita-3"},
+			nil, ExitFailed,
+			[]string{"code 2202", "oita-3", "nothing was published"},
+		},
+		"faults": {
+			&admin.PublishResult{Code: resultcode.CheckLimit, Faults: []config.Fault{{Code: resultcode.CheckLimit, Message: "too many", Advice: "remove some"}}},
+			nil, ExitFaults,
+			[]string{"code 2104: too many; remove some", "nothing was published"},
+		},
+		"platform": {
+			nil, resultcode.Errorf(resultcode.PlatformUnreachable, "no answer"),
+			ExitFailed,
+			[]string{"code 4000", "nothing was published"},
+		},
+		"deadline before the first write": {
+			nil, fmt.Errorf("read the pointer: %w", context.DeadlineExceeded),
+			ExitUnreachable,
+			[]string{"code 6002", "nothing was published"},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.control.publishAs(t, "aiko", 1)
+			f.control.result, f.control.failure = c.result, c.failure
+			file := write(t, text(2))
+			exit, stdout, stderr := f.run(t, "publish", file)
+			wantExit(t, c.exit, exit, stdout, stderr)
+			wantText(t, stdout+stderr, c.parts...)
+			if strings.Contains(stderr, "not confirmed") {
+				t.Error(stderr)
+			}
+			exit, stdout, _ = f.run(t, "publish", file, "-o", "json")
+			wantExit(t, c.exit, exit, stdout)
+			if !json.Valid([]byte(stdout)) {
+				t.Errorf("not one JSON value: %s", stdout)
+			}
+		})
+	}
+}
+
 // Guards against a drain of an unknown endpoint that exits with 0.
 func TestDrain(t *testing.T) {
 	f := newFixture(t)
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -56,7 +56,8 @@
 	response, err := c.api.Publish(ctx, request)
 	if err != nil {
 		if rejected(err) {
-			return err
+			f := classify(err)
+			return failed(f.exit, f.code, "%s; nothing was published", f.text)
 		}
 		return c.resolve(ctx, files, base, &adminpb.PublishResponse{Message: err.Error()})
 	}
