--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"regexp"
 
 	"burdockrelay.example/burdockrelay/internal/resultcode"
 	"burdockrelay.example/burdockrelay/internal/strictyaml"
@@ -27,7 +26,20 @@
 	MaxNameLength = 63
 )
 
-var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
+// validName reports whether the name has 1 to MaxNameLength lower-case letters,
+// digits and inner hyphens. A regular expression took a tenth of the time to
+// decode a release at the target scale.
+func validName(name string) bool {
+	if name == "" || len(name) > MaxNameLength || name[0] == '-' || name[len(name)-1] == '-' {
+		return false
+	}
+	for i := range len(name) {
+		if c := name[i]; (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
+		}
+	}
+	return true
+}
 
 // checker holds the indexes that the checks share.
 type checker struct {
@@ -109,7 +121,7 @@
 }
 
 func (c *checker) name(kind, name string, position strictyaml.Position) {
-	if len(name) > MaxNameLength || !namePattern.MatchString(name) {
+	if !validName(name) {
 		c.add(position, "name", resultcode.ConfigBadName,
 			fmt.Sprintf("use 1 to %d lower-case letters, digits and inner hyphens", MaxNameLength),
 			"%s name %q is not valid", kind, name)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -374,3 +374,16 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against names that break where other systems use them as labels.
+func TestNames(t *testing.T) {
+	for name, want := range map[string]bool{
+		"a": true, "0": true, "a-b": true, "a--b": true, strings.Repeat("a", MaxNameLength): true,
+		"": false, "-a": false, "a-": false, "-": false, "A": false, "a_b": false, "a.b": false, "é": false, "a b": false, "a\n": false,
+		strings.Repeat("a", MaxNameLength+1): false,
+	} {
+		if validName(name) != want {
+			t.Errorf("%q: got %t", name, !want)
+		}
+	}
+}
--- a/internal/config/encode.go
+++ b/internal/config/encode.go
@@ -114,12 +114,11 @@
 	if found := hashOf(content); found != stated {
 		return nil, resultcode.Errorf(resultcode.ReleaseHashMismatch, "the body states hash %s and has %s", stated, found)
 	}
-	decoder := json.NewDecoder(bytes.NewReader(content))
-	decoder.DisallowUnknownFields()
 	release := &Release{}
-	if err := decoder.Decode(release); err != nil {
+	if err := json.Unmarshal(content, release); err != nil {
 		return nil, resultcode.Errorf(resultcode.ConfigSyntax, "decode release: %w", err)
 	}
+	// The comparison also finds unknown fields, which Unmarshal ignores.
 	canonical, err := json.Marshal(release)
 	if err != nil || !bytes.Equal(canonical, content) {
 		return nil, resultcode.Errorf(resultcode.ConfigSyntax, "release %d is not in canonical form", release.Number)
