Describe endpoints in the number property without the code under test

A trial mutation that left the address out of an endpoint's identity passed the property, because the test used the same function; it fails now.

--- a/internal/config/property_test.go
+++ b/internal/config/property_test.go
@@ -124,19 +124,36 @@
 	return h, nil
 }
 
+// identities describes what each endpoint number stands for, without the code
+// that assigns the numbers.
+func identities(release *Release) map[common.EndpointID]string {
+	described := map[common.EndpointID]string{}
+	for _, rule := range release.Rules {
+		for _, set := range release.BackendSets {
+			if set.Name != rule.BackendSet {
+				continue
+			}
+			for _, endpoint := range set.Endpoints {
+				described[endpoint.ID] = fmt.Sprintf("%s of %s at %s", endpoint.Name, rule.Service, endpoint.Address)
+			}
+		}
+	}
+	return described
+}
+
 // Guards against an endpoint or service number that names two things over time,
 // which would send flows of an old endpoint to a new one (P2).
 func TestPropertyNumbersAreNeverReused(t *testing.T) {
 	t.Parallel()
 	runProperty(t, "number identifies one endpoint", 100, prop.ForAll(func(bytes []uint8) (bool, error) {
-		owners := map[common.EndpointID]endpointIdentity{}
+		owners := map[common.EndpointID]string{}
 		services := map[common.ServiceID]string{}
 		gone := map[common.EndpointID]bool{}
 		_, err := publishAll(bytes, func(_ *history, release *Release) error {
 			present := map[common.EndpointID]bool{}
-			for identity, id := range release.endpointNumbers() {
+			for id, identity := range identities(release) {
 				if owner, ok := owners[id]; ok && owner != identity {
-					return fmt.Errorf("endpoint number %d was %v and is %v", id, owner, identity)
+					return fmt.Errorf("endpoint number %d was %s and is %s", id, owner, identity)
 				}
 				if gone[id] {
 					return fmt.Errorf("endpoint number %d returned", id)
