--- a/internal/propertytest/propertytest.go
+++ b/internal/propertytest/propertytest.go
@@ -13,8 +13,9 @@
 const (
 	// DefaultSeed is the seed of CI runs.
 	DefaultSeed = 20261204
-	// SeedVariable sets another seed, SoakVariable multiplies the cases.
+	// SeedVariable names the environment variable that sets another seed.
 	SeedVariable = "BURDOCK_SEED"
+	// SoakVariable names the one that multiplies the number of cases.
 	SoakVariable = "BURDOCK_SOAK"
 )
 
