--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -41,6 +41,9 @@
 # Bounds of the checks, from docs/design.md sections 1.2 and 1.6.
 readonly MAX_IN_FORCE_MS=16000
 readonly MAX_CONTROL_BYTES=4096
+# A takeover may take 5 s; the retransmission that then succeeds can come as much
+# later again, because TCP doubles its timeout.
+readonly STALL_S=11
 # A leaving endpoint gets no new flows after this time.
 readonly DRAIN_S=3
 
@@ -61,14 +64,16 @@
   pids[$name]=$!
 }
 
-# stop NAME SIGNAL SECONDS ends a program and waits; it is killed when the time
-# is over.
-stop() {
-  local name=$1 signal=$2 pid=${pids[$1]} tries=$(($3 * 20))
-  kill -s "$signal" "$pid" 2>/dev/null
+# send NAME SIGNAL sends a signal to a program.
+send() { kill -s "$2" "${pids[$1]}"; }
+
+# await_end NAME SECONDS waits for the end of a program. It is killed when the
+# time is over.
+await_end() {
+  local name=$1 pid=${pids[$1]} tries=$(($2 * 20))
   while kill -0 "$pid" 2>/dev/null && ((tries-- > 0)); do sleep 0.05; done
   if kill -0 "$pid" 2>/dev/null; then
-    check "$name ends within $3 s" false
+    check "$name ends within $2 s" false
     kill -s KILL "$pid" 2>/dev/null
   fi
   wait "$pid" 2>/dev/null
@@ -307,7 +312,7 @@
   start caller "$BIN/standin-caller" -listen 127.0.0.1:6083 -fabric $FABRIC_INGRESS -control $CALLER_CONTROL \
     -callers 24 -seed 1 -drawings $DRAWINGS -boards $DESK -reports $DESK \
     -download-size 400000 -download-rate 100000 -requests-per-flow 20 -pause 150ms \
-    -duration 19s -grace 6s -stall 5s -endpoints "$endpoints" -summary "$OUT/summary.json"
+    -duration 22s -grace 12s -stall "${STALL_S}s" -endpoints "$endpoints" -summary "$OUT/summary.json"
 }
 
 # publish RELEASE INSTANCE... publishes and notes the time until the release is
@@ -331,19 +336,24 @@
 }
 
 # restart_entry stops an instance in the planned order and starts it again.
+# controld hands over first; entryd relays what the fabric still sends.
 restart_entry() {
-  local i=$1
+  local i=$1 begin
+  begin=$(elapsed_ms)
   say "restarting entry-$i"
   list_instance "$i" leaving
-  stop "controld-$i" TERM 5
+  send "controld-$i" TERM
+  sleep 1
   spray DELETE "$i"
-  # Packets that the fabric has already sent are still relayed.
-  sleep 0.5
-  stop "entryd-$i" TERM 3
+  await_end "controld-$i" 11
+  send "entryd-$i" TERM
+  await_end "entryd-$i" 4
+  say "entry-$i has stopped"
   list_instance "$i" live
   start_entry "$i"
   must "entry-$i serves again" 10 all_serving $ENTRIES
   spray PUT "$i"
+  note "time of the restart" "$(($(elapsed_ms) - begin)) ms"
 }
 
 kill_entry() {
@@ -351,8 +361,10 @@
   check "flows are open when entry-$i is killed" at_least "$(counter $CALLER_CONTROL/control/summary flows_open)" 1
   say "killing both daemons of entry-$i"
   killed_ms=$(elapsed_ms)
-  stop "entryd-$i" KILL 1
-  stop "controld-$i" KILL 1
+  send "entryd-$i" KILL
+  send "controld-$i" KILL
+  await_end "entryd-$i" 1
+  await_end "controld-$i" 1
   # The fabric and the instance list notice later.
   sleep 1
   spray DELETE "$i"
@@ -375,6 +387,8 @@
     all+="$bytes "
     if ! number "$bytes" || ((bytes > worst)); then worst=$bytes; fi
     violations=$((violations + $(status "$i" | field invariant_violations)))
+    http "http://$ENTRY_NET.$i:9101/metrics" >"$OUT/entryd-$i.metrics"
+    http "http://$ENTRY_NET.$i:9102/metrics" >"$OUT/controld-$i.metrics"
   done
   note "control bytes per second per daemon" "$all"
   check "control traffic is at most $MAX_CONTROL_BYTES bytes per second per daemon" at_most "$worst" $MAX_CONTROL_BYTES
--- a/standins/caller/flow.go
+++ b/standins/caller/flow.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"time"
 
 	"burdockrelay.example/burdockrelay/standins/tunnel"
 )
@@ -17,6 +18,8 @@
 	net.Conn
 	recorder *recorder
 	service  string
+	local    string
+	opened   time.Time
 
 	mutex    sync.Mutex
 	closed   bool
@@ -36,7 +39,13 @@
 		s.FlowsOpened++
 		s.FlowsOpen++
 	})
-	return &flow{Conn: connection, recorder: recorder, service: service}, nil
+	return &flow{
+		Conn:     connection,
+		recorder: recorder,
+		service:  service,
+		local:    connection.LocalAddr().String(),
+		opened:   time.Now(),
+	}, nil
 }
 
 // The network stack reports its errors as text only.
@@ -52,6 +61,8 @@
 		return reasonRefused
 	case errors.Is(err, context.DeadlineExceeded), strings.Contains(err.Error(), textTimeout):
 		return reasonTimeout
+	case errors.Is(err, context.Canceled):
+		return reasonCancelled
 	default:
 		return reasonOther
 	}
@@ -116,6 +127,14 @@
 	f.mutex.Lock()
 	first := !f.broken
 	f.broken = true
+	broken := BrokenFlow{
+		OpenedAt: f.opened,
+		BrokenAt: time.Now(),
+		Local:    f.local,
+		Service:  f.service,
+		Endpoint: f.endpoint,
+		Reason:   reason,
+	}
 	f.mutex.Unlock()
 	if !first {
 		return
@@ -124,6 +143,9 @@
 		s.BrokenFlows++
 		s.BrokenFlowsByReason[reason]++
 		s.BrokenFlowsByService[f.service]++
+		if len(s.FirstBroken) < maxBroken {
+			s.FirstBroken = append(s.FirstBroken, broken)
+		}
 	})
 }
 
--- a/standins/caller/summary.go
+++ b/standins/caller/summary.go
@@ -2,7 +2,9 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
+	"time"
 )
 
 // Reasons why a flow was not opened or broke.
@@ -13,6 +15,7 @@
 	reasonStalled   = "stalled"
 	reasonTruncated = "truncated"
 	reasonWrong     = "wrong_bytes"
+	reasonCancelled = "cancelled"
 	reasonOther     = "other"
 )
 
@@ -31,6 +34,8 @@
 	// BrokenFlowsByService counts them by service address.
 	BrokenFlowsByService map[string]int `json:"broken_flows_by_service"`
 
+	// FirstBroken holds the first broken flows, at most maxBroken.
+	FirstBroken []BrokenFlow `json:"first_broken"`
 	// Unfinished counts requests that were under way when the run ended.
 	Unfinished int `json:"unfinished"`
 
@@ -63,6 +68,20 @@
 	Verified *Verification `json:"verified,omitempty"`
 }
 
+// maxBroken bounds the broken flows that a summary lists.
+const maxBroken = 100
+
+// BrokenFlow describes one broken flow, to find it in the logs and traces of
+// the entry instances.
+type BrokenFlow struct {
+	OpenedAt time.Time `json:"opened_at"`
+	BrokenAt time.Time `json:"broken_at"`
+	Local    string    `json:"local"`
+	Service  string    `json:"service"`
+	Endpoint string    `json:"endpoint"`
+	Reason   string    `json:"reason"`
+}
+
 // Verification compares the callers' outcomes with the endpoints' lists.
 type Verification struct {
 	EndpointsRead      int `json:"endpoints_read"`
@@ -95,6 +114,7 @@
 		summary: Summary{
 			Seed:                 seed,
 			FlowsNotOpened:       make(map[string]int),
+			FirstBroken:          []BrokenFlow{},
 			BrokenFlowsByReason:  make(map[string]int),
 			BrokenFlowsByService: make(map[string]int),
 			FlowsPerEndpoint:     make(map[string]map[string]int),
@@ -149,6 +169,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	summary := r.summary
+	summary.FirstBroken = slices.Clone(summary.FirstBroken)
 	summary.FlowsNotOpened = maps.Clone(summary.FlowsNotOpened)
 	summary.BrokenFlowsByReason = maps.Clone(summary.BrokenFlowsByReason)
 	summary.BrokenFlowsByService = maps.Clone(summary.BrokenFlowsByService)
