--- /dev/null
+++ b/internal/entry/bench_test.go
@@ -0,0 +1,229 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gopacket/gopacket/layers"
+	"golang.org/x/net/ipv4"
+
+	"burdockrelay.example/burdockrelay/proto/entrypb"
+)
+
+const (
+	benchFlows   = 1024
+	benchPayload = 64
+	benchWarmup  = 50 * time.Millisecond
+	benchWindow  = 250 * time.Millisecond
+)
+
+// sink counts the packets that arrive at one socket.
+type sink struct {
+	socket *net.UDPConn
+	count  atomic.Uint64
+}
+
+func openSink(b *testing.B) *sink {
+	b.Helper()
+	sockets, err := listenAll(netip.MustParseAddrPort("127.0.0.1:0"), 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := &sink{socket: sockets[0].(*net.UDPConn)}
+	b.Cleanup(func() { closeAll(sockets) })
+	go s.run()
+	return s
+}
+
+func (s *sink) run() {
+	conn := ipv4.NewPacketConn(s.socket)
+	messages := benchMessages()
+	for {
+		n, err := conn.ReadBatch(messages, 0)
+		if err != nil {
+			return
+		}
+		s.count.Add(uint64(n))
+	}
+}
+
+func (s *sink) address() netip.AddrPort {
+	return s.socket.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+func benchMessages() []ipv4.Message {
+	messages := make([]ipv4.Message, maxBatch)
+	for i := range messages {
+		messages[i].Buffers = [][]byte{make([]byte, maxPacketBytes)}
+	}
+	return messages
+}
+
+// startBare runs the forwarder that entryd is compared with: it reads and
+// writes batches as a worker does and does nothing else.
+func startBare(b *testing.B, to netip.AddrPort) netip.AddrPort {
+	b.Helper()
+	receivers, err := listenAll(netip.MustParseAddrPort("127.0.0.1:0"), 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	senders, err := openSenders(netip.MustParseAddr("127.0.0.1"), 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { closeAll(receivers); closeAll(senders) })
+	go bareForward(ipv4.NewPacketConn(receivers[0]), ipv4.NewPacketConn(senders[0]), net.UDPAddrFromAddrPort(to))
+	return receivers[0].LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+func bareForward(receive, send *ipv4.PacketConn, to *net.UDPAddr) {
+	in := benchMessages()
+	out := make([]ipv4.Message, maxBatch)
+	for i := range out {
+		out[i] = ipv4.Message{Buffers: make([][]byte, 1), Addr: to}
+	}
+	for {
+		n, err := receive.ReadBatch(in, 0)
+		if err != nil {
+			return
+		}
+		for i := range n {
+			out[i].Buffers[0] = in[i].Buffers[0][:in[i].N]
+		}
+		for pending := out[:n]; len(pending) > 0; {
+			sent, err := send.WriteBatch(pending, 0)
+			if err != nil {
+				return
+			}
+			pending = pending[sent:]
+		}
+	}
+}
+
+// blast sends the packets to the address until the context ends.
+func blast(ctx context.Context, b *testing.B, to netip.AddrPort, packets [][]byte) {
+	b.Helper()
+	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		b.Fatal(err)
+	}
+	conn := ipv4.NewPacketConn(socket)
+	address := net.UDPAddrFromAddrPort(to)
+	messages := make([]ipv4.Message, len(packets))
+	for i := range messages {
+		messages[i] = ipv4.Message{Buffers: [][]byte{packets[i]}, Addr: address}
+	}
+	go func() {
+		defer socket.Close()
+		for ctx.Err() == nil {
+			for first := 0; first < len(messages); first += maxBatch {
+				if _, err := conn.WriteBatch(messages[first:first+maxBatch], 0); err != nil {
+					return
+				}
+			}
+		}
+	}()
+}
+
+// rate returns the packets a second that reach the sink through the forwarder
+// while more are sent than it can take.
+func rate(b *testing.B, to netip.AddrPort, packets [][]byte, s *sink) float64 {
+	b.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	blast(ctx, b, to, packets)
+	time.Sleep(benchWarmup)
+	begin, before := time.Now(), s.count.Load()
+	time.Sleep(benchWindow)
+	packetsPerSecond := float64(s.count.Load()-before) / time.Since(begin).Seconds()
+	cancel()
+	time.Sleep(benchWarmup) // lets queues drain
+	return packetsPerSecond
+}
+
+func benchPackets(b *testing.B) [][]byte {
+	b.Helper()
+	packets := make([][]byte, benchFlows)
+	for i := range packets {
+		data := segment(b, 20000+uint16(i), layers.TCP{ACK: true, Seq: 1001}, string(make([]byte, benchPayload)))
+		packets[i] = slices.Clone(data)
+	}
+	return packets
+}
+
+func benchInstance(b *testing.B, name string) *instance {
+	b.Helper()
+	return startInstance(b, name, func(s *Settings) { s.Workers = 1 }, nil)
+}
+
+// startOwner returns an instance that owns every slot and has all flows open.
+func startOwner(b *testing.B, s *sink) *instance {
+	b.Helper()
+	owner := benchInstance(b, "owner")
+	request := snapshot([]*endpoint{{s.socket}}, owner)
+	owner.apply(b, request)
+	owner.renew(b, 3*time.Second)
+	for i := range uint16(benchFlows) {
+		owner.send(b, syn(b, 20000+i))
+	}
+	waitFor(b, "open flow of every caller", func() bool { return owner.flowStats().OpenFlows == benchFlows })
+	return owner
+}
+
+// startRelayer returns an instance that owns nothing and relays to the sink.
+func startRelayer(b *testing.B, s *sink) *instance {
+	b.Helper()
+	relayer := benchInstance(b, "relayer")
+	request := snapshot([]*endpoint{{s.socket}}, relayer)
+	request.Members[0].State = entrypb.MemberState_MEMBER_STATE_JOINING
+	request.Members = append(request.Members, &entrypb.Member{
+		Instance: 99, Name: "peer", Incarnation: 1,
+		EntryAddress: s.address().String(), State: entrypb.MemberState_MEMBER_STATE_SERVING,
+	})
+	relayer.apply(b, request)
+	return relayer
+}
+
+// BenchmarkLoopback compares one worker of entryd with a bare UDP forwarder.
+// One iteration measures each of them in turn, so that other load on the
+// machine meets all of them; the medians are reported.
+func BenchmarkLoopback(b *testing.B) {
+	s := openSink(b)
+	packets := benchPackets(b)
+	bare := startBare(b, s.address())
+	owner := startOwner(b, s)
+	relayer := startRelayer(b, s)
+	var bareRates, ownerRates, relayRates, ownerRatios, relayRatios []float64
+	for b.Loop() {
+		owner.renew(b, 3*time.Second)
+		relayer.renew(b, 3*time.Second)
+		x := rate(b, bare, packets, s)
+		y := rate(b, owner.PacketAddress(), packets, s)
+		z := rate(b, relayer.PacketAddress(), packets, s)
+		bareRates = append(bareRates, x)
+		ownerRates = append(ownerRates, y)
+		relayRates = append(relayRates, z)
+		ownerRatios = append(ownerRatios, y/x)
+		relayRatios = append(relayRatios, z/x)
+	}
+	if forwarded, relayed := owner.totals().forwarded, relayer.totals().relayed; forwarded == 0 || relayed == 0 {
+		b.Fatalf("forwarded %d, relayed %d", forwarded, relayed)
+	}
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(median(bareRates), "bare-packets/s")
+	b.ReportMetric(median(ownerRates), "owner-packets/s")
+	b.ReportMetric(median(relayRates), "relay-packets/s")
+	b.ReportMetric(median(ownerRatios), "owner/bare")
+	b.ReportMetric(median(relayRatios), "relay/bare")
+}
+
+func median(values []float64) float64 {
+	sorted := slices.Clone(values)
+	slices.Sort(sorted)
+	return sorted[len(sorted)/2]
+}
