--- a/internal/entry/convert.go
+++ b/internal/entry/convert.go
@@ -72,14 +72,17 @@
 	if port == 0 || port > math.MaxUint16 {
 		return common.Service{}, invalid("service %q: port %d is out of range", name, port)
 	}
-	protocol := common.Protocol(message.GetProtocol())
-	if protocol != common.ProtocolTCP && protocol != common.ProtocolUDP {
-		return common.Service{}, invalid("service %q: protocol %d is not TCP or UDP", name, message.GetProtocol())
+	protocol := message.GetProtocol()
+	if protocol != entrypb.Protocol_PROTOCOL_TCP && protocol != entrypb.Protocol_PROTOCOL_UDP {
+		return common.Service{}, invalid("service %q: protocol %d is not TCP or UDP", name, protocol)
+	}
+	if selection := message.GetPolicy().GetSelection(); selection < 0 || selection > entrypb.Selection_SELECTION_TWO_CHOICES {
+		return common.Service{}, invalid("service %q: unknown selection %d", name, selection)
 	}
 	service := common.Service{
 		ID:         common.ServiceID(message.GetId()),
 		Name:       name,
-		Address:    common.ServiceAddress{Address: address, Port: uint16(port), Protocol: protocol},
+		Address:    common.ServiceAddress{Address: address, Port: uint16(port), Protocol: common.Protocol(protocol)},
 		Idempotent: message.GetIdempotent(),
 		Policy:     policyFromProto(message.GetPolicy()),
 		Endpoints:  make([]common.Endpoint, 0, len(message.GetEndpoints())),
@@ -255,8 +258,11 @@
 	}
 }
 
+// baseFromProto converts a base, or a reference to an earlier base of the batch:
+// one weight without endpoints.
 func baseFromProto(message *entrypb.ServiceBase) (common.ServiceBase, error) {
-	if len(message.GetEligible()) != len(message.GetWeights()) {
+	reference := len(message.GetEligible()) == 0 && len(message.GetWeights()) == 1
+	if !reference && len(message.GetEligible()) != len(message.GetWeights()) {
 		return common.ServiceBase{}, invalid("base of service %d: %d endpoints with %d weights",
 			message.GetService(), len(message.GetEligible()), len(message.GetWeights()))
 	}
--- /dev/null
+++ b/internal/entry/invariants_test.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/decision/flow"
+	"burdockrelay.example/burdockrelay/internal/packet"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+)
+
+// twoServices returns the state of a release with two services of one endpoint
+// each: endpoint 1 of service 1 and endpoint 2 of service 2.
+func twoServices(t *testing.T) *state {
+	t.Helper()
+	service := func(id common.ServiceID, port uint16) common.Service {
+		return common.Service{
+			ID:      id,
+			Address: common.ServiceAddress{Address: netip.MustParseAddr(testService), Port: port, Protocol: common.ProtocolTCP},
+			Endpoints: []common.Endpoint{{
+				ID: common.EndpointID(id), Tunnel: netip.AddrPortFrom(netip.MustParseAddr("192.0.2.1"), uint16(id)), Weight: 1,
+			}},
+		}
+	}
+	snapshot := &common.Snapshot{Services: []common.Service{service(1, 443), service(2, 80)}}
+	tables, err := flow.NewTables(snapshot, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return newState(snapshot, tables)
+}
+
+// checkedExchange returns an exchange of a first packet to service 1.
+func checkedExchange(s *state, action flow.Action) *exchange {
+	x := &exchange{state: s, action: action}
+	x.flow = flow.Packet{
+		Tuple: common.FiveTuple{Protocol: common.ProtocolTCP}, Hash: 77, First: true, Sequence: 5,
+		Service: s.tables.Match(s.snapshot.Services[0].Address),
+	}
+	return x
+}
+
+func newInvariantFilter() *invariantFilter {
+	return &invariantFilter{shards: new([flow.Shards]shard), metrics: newMetrics(prometheus.NewRegistry())}
+}
+
+func violations(f *invariantFilter, which invariant) float64 {
+	return testutil.ToFloat64(f.metrics.violations.WithLabelValues(string(which)))
+}
+
+// Guards against a decision fault that sends a packet to another service (P2).
+func TestForeignEndpointIsStopped(t *testing.T) {
+	s := twoServices(t)
+	own := s.snapshot.Services[0].Endpoints[0].Tunnel
+	foreign := s.snapshot.Services[1].Endpoints[0].Tunnel
+	tests := map[string]flow.Action{
+		"endpoint of another service":           {Kind: flow.Forward, Endpoint: 2, To: foreign},
+		"tunnel of another service":             {Kind: flow.Forward, Endpoint: 1, To: foreign},
+		"own tunnel with another's number":      {Kind: flow.Forward, Endpoint: 2, To: own},
+		"endpoint that is not in the release":   {Kind: flow.Forward, Endpoint: 3, To: own},
+		"endpoint number 0 with the own tunnel": {Kind: flow.Forward, Endpoint: 0, To: own},
+	}
+	for name, action := range tests {
+		f := newInvariantFilter()
+		x := checkedExchange(s, action)
+		if f.apply(x) || x.action.Kind != flow.Drop || x.action.Code != resultcode.PacketForeignEndpoint {
+			t.Errorf("%s: action %+v", name, x.action)
+		}
+		if violations(f, invariantForeignEndpoint) != 1 {
+			t.Errorf("%s: not counted", name)
+		}
+	}
+	f := newInvariantFilter()
+	if !f.apply(checkedExchange(s, flow.Action{Kind: flow.Forward, Endpoint: 1, To: own})) {
+		t.Error("the service's own endpoint was stopped")
+	}
+}
+
+// Guards against packets that circle between instances.
+func TestSecondRelayIsStopped(t *testing.T) {
+	f := newInvariantFilter()
+	x := checkedExchange(twoServices(t), flow.Action{Kind: flow.Relay})
+	if !f.apply(x) {
+		t.Fatal("the first relay was stopped")
+	}
+	x.decoded.Relay.HopCount = packet.MaxHopCount
+	if f.apply(x) || x.action.Kind != flow.Drop || x.action.Code != resultcode.RouteHopLimit {
+		t.Fatalf("action %+v", x.action)
+	}
+	if violations(f, invariantSecondRelay) != 1 || f.metrics.violationTotal.Load() != 1 {
+		t.Fatal("not counted")
+	}
+}
+
+// Guards against "not run" for a request that may run (P4).
+func TestRefusalAfterForwardIsStopped(t *testing.T) {
+	f := newInvariantFilter()
+	s := twoServices(t)
+	refuse := flow.Action{Kind: flow.Refuse, Code: resultcode.RefusedTableFull}
+	if !f.apply(checkedExchange(s, refuse)) {
+		t.Fatal("the refusal of a new flow was stopped")
+	}
+	tunnel := s.snapshot.Services[0].Endpoints[0].Tunnel
+	if !f.apply(checkedExchange(s, flow.Action{Kind: flow.Forward, Endpoint: 1, To: tunnel})) {
+		t.Fatal("the forward was stopped")
+	}
+	if x := checkedExchange(s, refuse); f.apply(x) || x.action.Kind != flow.Drop {
+		t.Fatalf("a forwarded flow was refused: %+v", x.action)
+	}
+	reused := checkedExchange(s, refuse)
+	reused.flow.Sequence++
+	if !f.apply(reused) {
+		t.Fatal("the refusal of a new connection on a reused five-tuple was stopped")
+	}
+	middle := checkedExchange(s, refuse)
+	middle.flow.First = false
+	if f.apply(middle) {
+		t.Fatal("a packet in the middle of a flow was refused")
+	}
+	if violations(f, invariantRefusedForwarded) != 2 {
+		t.Fatal("not counted")
+	}
+}
