--- a/internal/controller/publication.go
+++ b/internal/controller/publication.go
@@ -256,6 +256,8 @@
 		p.move(ctx)
 	case release.StepReadPointer:
 		p.readBackPointer(ctx)
+	case release.StepReadAccepted:
+		p.readBackAccepted(ctx)
 	}
 }
 
@@ -300,6 +302,15 @@
 }
 
 func (p *publishing) readBackRelease(ctx context.Context) {
+	p.readBack(ctx, p.state.ReadRelease)
+}
+
+func (p *publishing) readBackAccepted(ctx context.Context) {
+	p.readBack(ctx, p.state.ReadAccepted)
+}
+
+// readBack reads the release object of the own number and tells the publication.
+func (p *publishing) readBack(ctx context.Context, tell func(found bool, ref release.Ref)) {
 	ref := p.state.Ref()
 	spec, err := p.readReleaseSpec(ctx, ref.Number)
 	if code, _ := resultcode.Of(err); err != nil && code != resultcode.PlatformNotFound {
@@ -307,10 +318,10 @@
 		return
 	}
 	if err != nil {
-		p.state.ReadRelease(false, release.Ref{})
+		tell(false, release.Ref{})
 		return
 	}
-	p.state.ReadRelease(true, spec.ref())
+	tell(true, spec.ref())
 	if p.state.Step() == release.StepConflict {
 		p.conflict, _ = decodeBody(spec.ref(), spec.Body)
 	}
@@ -482,9 +493,13 @@
 		result.Message = fmt.Sprintf("release %d is accepted", ref.Number)
 		p.accepted(ref)
 	case release.StepConflict:
+		p.removeOwn()
 		conflict := conflictResult(p.previous, p.conflict)
 		conflict.Release = ref.Number
 		return conflict
+	case release.StepUnconfirmed:
+		result.Code = resultcode.PublishUnconfirmed
+		result.Message = "the outcome could not be read back; burdockctl history shows it"
 	case release.StepRefused:
 		result.Code = resultcode.PublishRefused
 		result.Message = "refused by " + p.names(p.verdict.RefusedBy)
@@ -496,6 +511,24 @@
 	return result
 }
 
+// removeOwn removes the own release after a conflict, when it was written on a
+// pointer that had changed and would keep the number taken.
+func (p *publishing) removeOwn() {
+	ctx, cancel := context.WithTimeout(context.Background(), cleanupTimeout)
+	defer cancel()
+	ref := p.state.Ref()
+	spec, err := p.readReleaseSpec(ctx, ref.Number)
+	if err != nil || !spec.ref().Matches(ref) {
+		return
+	}
+	if err := p.readPointerState(ctx); err != nil || p.pointer.spec.Number >= ref.Number {
+		return
+	}
+	if err := p.withdrawRelease(ctx, ref.Number); err != nil {
+		p.logger.Warn("release_not_withdrawn", zap.Uint64("release", ref.Number), zap.Error(err))
+	}
+}
+
 // accepted takes the own release at once and removes one that is too old.
 func (p *publishing) accepted(ref release.Ref) {
 	p.mu.Lock()
--- a/internal/decision/membership/membership.go
+++ b/internal/decision/membership/membership.go
@@ -154,8 +154,11 @@
 	// of a joining one.
 	unansweredSince time.Duration
 	failedProbes    int
-	sends           int
-	queued          bool
+	// outdated is set when the member itself states less than is known of it,
+	// because an earlier process had a higher incarnation or another state.
+	outdated bool
+	sends    int
+	queued   bool
 }
 
 type probe struct {
@@ -583,7 +586,7 @@
 		updates = append(updates, m.self)
 		limit -= m.self.Size()
 	}
-	if to.known && !to.reachable() {
+	if to.known && (!to.reachable() || to.outdated) {
 		told := to.update.compact()
 		updates = append(updates, told)
 		limit -= told.Size()
@@ -676,6 +679,7 @@
 	if !found {
 		return nil
 	}
+	sender.outdated = sender.statesLess(&message)
 	if message.Incarnation >= sender.update.Incarnation {
 		sender.lastHeard = now
 		sender.heard = true
@@ -692,6 +696,19 @@
 	return nil
 }
 
+// statesLess reports whether the message states less about its sender than is known.
+func (r *record) statesLess(message *Message) bool {
+	if message.Incarnation < r.update.Incarnation {
+		return true
+	}
+	for i := range message.Updates {
+		if own := &message.Updates[i]; own.ID == r.update.ID {
+			return supersedes(&r.update, own)
+		}
+	}
+	return r.outdated
+}
+
 // rejoinAfterLapse is called when a peer is heard again after the lease lapsed.
 func (m *Machine) rejoinAfterLapse(now time.Duration) {
 	if !m.lapsed {
--- a/internal/decision/release/publication.go
+++ b/internal/decision/release/publication.go
@@ -17,6 +17,9 @@
 	// StepReadPointer reads the pointer back, because the answer was lost or
 	// the update met a conflict.
 	StepReadPointer
+	// StepReadAccepted reads the release object again, because a higher release
+	// was accepted before the pointer could be read back.
+	StepReadAccepted
 	// StepDone means accepted.
 	StepDone
 	// StepConflict means that another release has the number.
@@ -120,6 +123,8 @@
 	switch {
 	case ref.Matches(p.ref):
 		p.step = StepDone
+	case ref.Number > p.ref.Number:
+		p.step = StepReadAccepted
 	case unchanged:
 		p.step = StepMove
 	default:
@@ -127,6 +132,20 @@
 	}
 }
 
+// ReadAccepted takes the release object read after a higher number was accepted.
+// An object below the pointer is an accepted release: written releases are only
+// removed while the pointer is below them.
+func (p *Publication) ReadAccepted(found bool, ref Ref) {
+	switch {
+	case !found:
+		p.step = StepUnconfirmed
+	case ref.Matches(p.ref):
+		p.step = StepDone
+	default:
+		p.step = StepConflict
+	}
+}
+
 // GiveUp ends a publication whose time is over. A publication that may have
 // written the pointer stays unconfirmed.
 func (p *Publication) GiveUp() {
