--- a/Makefile
+++ b/Makefile
@@ -33,5 +33,9 @@
 demo: build
 	scripts/demo.sh
 
+# The property tests with twenty times the cases. BURDOCK_SEED sets the seed.
+soak:
+	BURDOCK_SOAK=20 go test -count=1 -timeout 30m ./internal/decision/...
+
 clean:
 	rm -rf $(BIN) out
--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,201 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+)
+
+func serve(t *testing.T, handler http.HandlerFunc) (*Client, *httptest.Server) {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return NewClient(server.URL, prometheus.NewRegistry()), server
+}
+
+func wantCode(t *testing.T, err error, want resultcode.Code) {
+	t.Helper()
+	if code, ok := resultcode.Of(err); !ok || code != want {
+		t.Errorf("error %v has code %d, want %d", err, code, want)
+	}
+}
+
+// Guards against a read that gives up at the first failure of the platform, and
+// calls that are not counted.
+func TestReadsAreRetriedAndCounted(t *testing.T) {
+	var calls atomic.Int32
+	client, _ := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		if calls.Add(1) < 3 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprint(w, `{"metadata":{"name":"current","resourceVersion":"7"},"spec":{}}`)
+	})
+	object, err := client.Get(context.Background(), Pointers, "current")
+	if err != nil || object.Metadata.ResourceVersion != "7" {
+		t.Fatalf("got %+v, %v", object, err)
+	}
+	if n := testutil.ToFloat64(client.calls.WithLabelValues("get", Pointers, "503")); n != 2 {
+		t.Errorf("%v failed calls counted, want 2", n)
+	}
+}
+
+// Guards against a write that is sent again after its answer was lost: the first
+// one may have taken effect.
+func TestLostWriteIsUncertainAndNotRepeated(t *testing.T) {
+	var calls atomic.Int32
+	client, _ := serve(t, func(http.ResponseWriter, *http.Request) {
+		calls.Add(1)
+		panic(http.ErrAbortHandler)
+	})
+	object, err := NewObject("Pointer", "current", "3", struct{}{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = client.Update(context.Background(), Pointers, object)
+	wantCode(t, err, resultcode.PlatformUncertain)
+	_, err = client.Create(context.Background(), Releases, object)
+	wantCode(t, err, resultcode.PlatformUncertain)
+	if calls.Load() != 2 {
+		t.Errorf("%d calls for two writes", calls.Load())
+	}
+}
+
+// Guards against a write that is called uncertain although no connection could be
+// made, which would cost the operator a needless check.
+func TestWriteWithoutConnectionHadNoEffect(t *testing.T) {
+	client, server := serve(t, func(http.ResponseWriter, *http.Request) {})
+	server.Close()
+	_, err := client.Create(context.Background(), Releases, &Object{})
+	wantCode(t, err, resultcode.PlatformUnreachable)
+}
+
+// Guards against reasons of failure that are confused with each other.
+func TestFailuresHaveResultCodes(t *testing.T) {
+	cases := []struct {
+		status int
+		reason string
+		want   resultcode.Code
+	}{
+		{http.StatusNotFound, "NotFound", resultcode.PlatformNotFound},
+		{http.StatusConflict, "AlreadyExists", resultcode.PlatformExists},
+		{http.StatusConflict, "Conflict", resultcode.PlatformConflict},
+		{http.StatusGone, "Expired", resultcode.PlatformExpired},
+		{http.StatusBadRequest, "BadRequest", resultcode.PlatformBadAnswer},
+		{http.StatusInternalServerError, "InternalError", resultcode.PlatformUncertain},
+	}
+	for _, c := range cases {
+		client, _ := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(c.status)
+			_ = json.NewEncoder(w).Encode(Failure{Kind: "Status", Reason: c.reason, Code: c.status})
+		})
+		_, err := client.Update(context.Background(), Pointers, &Object{})
+		wantCode(t, err, c.want)
+	}
+}
+
+// Guards against an instance that uses more than its share of the platform's
+// calls.
+func TestCallsKeepTheBudget(t *testing.T) {
+	var calls atomic.Int32
+	client, _ := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		fmt.Fprint(w, `{}`)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	for ctx.Err() == nil {
+		if _, err := client.List(ctx, Releases); err != nil {
+			break
+		}
+	}
+	if n := calls.Load(); n > callBurst+3*callsPerSecond {
+		t.Errorf("%d calls in 2 s, the budget is a burst of %d and %d a second", n, callBurst, callsPerSecond)
+	}
+}
+
+type recorder struct {
+	mu     sync.Mutex
+	events []string
+	done   chan struct{}
+	after  int
+}
+
+func (r *recorder) add(event string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = append(r.events, event)
+	if len(r.events) == r.after {
+		close(r.done)
+	}
+}
+
+func (r *recorder) Replace(list *List) { r.add("list " + list.Metadata.ResourceVersion) }
+
+func (r *recorder) Change(kind string, object *Object) { r.add(kind + " " + object.Metadata.Name) }
+
+func (r *recorder) Failed(err error) {
+	code, _ := resultcode.Of(err)
+	r.add(fmt.Sprintf("failed %d", code))
+}
+
+// Guards against a watch that misses changes between two connections, or that
+// goes on after the platform has forgotten its resource version.
+func TestWatchResumesAndListsAgainWhenExpired(t *testing.T) {
+	var lists, watches atomic.Int32
+	var resumedAt []string
+	var mu sync.Mutex
+	client, _ := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("watch") == "" {
+			fmt.Fprintf(w, `{"metadata":{"resourceVersion":"%d0"},"items":[]}`, lists.Add(1))
+			return
+		}
+		mu.Lock()
+		resumedAt = append(resumedAt, r.URL.Query().Get("resourceVersion"))
+		mu.Unlock()
+		switch watches.Add(1) {
+		case 1:
+			fmt.Fprintln(w, `{"type":"ADDED","object":{"metadata":{"name":"a","resourceVersion":"11"}}}`)
+		case 2:
+			fmt.Fprintln(w, `{"type":"BOOKMARK","object":{"metadata":{"resourceVersion":"15"}}}`)
+		case 3:
+			w.WriteHeader(http.StatusGone)
+		case 4:
+			fmt.Fprintln(w, `{"type":"ERROR","object":{"kind":"Status","code":410,"reason":"Expired"}}`)
+		case 5:
+			fmt.Fprintln(w, `{"type":"DELETED","object":{"metadata":{"name":"a","resourceVersion":"31"}}}`)
+		default:
+			<-r.Context().Done()
+		}
+	})
+	r := &recorder{done: make(chan struct{}), after: 7}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go client.Watch(ctx, Releases, r)
+	select {
+	case <-r.done:
+	case <-time.After(10 * time.Second):
+	}
+	r.mu.Lock()
+	got := fmt.Sprint(r.events)
+	r.mu.Unlock()
+	if want := "[list 10 ADDED a failed 4007 list 20 failed 4007 list 30 DELETED a]"; got != want {
+		t.Errorf("events %s, want %s", got, want)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if got, want := fmt.Sprint(resumedAt[:5]), "[10 11 15 20 30]"; got != want {
+		t.Errorf("watches began at %s, want %s", got, want)
+	}
+}
--- a/internal/propertytest/propertytest.go
+++ b/internal/propertytest/propertytest.go
@@ -13,8 +13,9 @@
 const (
 	// DefaultSeed is the seed of CI runs.
 	DefaultSeed = 20261204
-	// SeedVariable sets another seed, SoakVariable multiplies the cases.
+	// SeedVariable is the environment variable that sets another seed.
 	SeedVariable = "BURDOCK_SEED"
+	// SoakVariable is the environment variable that multiplies the cases.
 	SoakVariable = "BURDOCK_SOAK"
 )
 
