--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -239,7 +239,7 @@
   done
 }
 
-ctl() { timeout 12 "$BIN/burdockctl" -settings "$OUT/ctl.yaml" "$@" >>"$OUT/burdockctl.log" 2>&1; }
+ctl() { BURDOCKCTL_SETTINGS=$OUT/ctl.yaml timeout 12 "$BIN/burdockctl" "$@" >>"$OUT/burdockctl.log" 2>&1; }
 
 write_settings() {
   local i=$1 common
