Report all exceptions before an instance gives up its slots

Cause: a planned restart in the demo reset flows; the leaver gave up its slots while its youngest exceptions were not yet with the successor.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -151,15 +151,23 @@
 // Err returns the failure that ended the controllers.
 func (c *Controller) Err() error { return c.core.tomb.Err() }
 
-// Leave announces that this instance leaves and hands over its exceptions.
+// Leave hands over the exceptions and then the slots. The instance first stops
+// making exceptions while it still owns its slots: a successor that took over
+// without the youngest ones would send their flows to another endpoint.
 func (c *Controller) Leave() {
+	c.core.mu.Lock()
+	c.core.machine.PrepareLeave()
+	c.core.mu.Unlock()
+	c.core.logger.Info("preparing_to_leave")
+	c.core.snapshotChanged()
+	c.replication.waitReported(reportLimit, idleBeforeLeaving)
 	c.core.mu.Lock()
 	c.core.machine.Leave(c.core.now())
 	c.core.mu.Unlock()
 	c.core.logger.Info("leaving")
 	c.core.snapshotChanged()
 	c.membership.announce()
-	c.replication.handOver()
+	c.replication.waitReported(handoverLimit, idleBeforeEnd)
 }
 
 // Stop ends the controllers and waits for them.
--- a/internal/controller/replication.go
+++ b/internal/controller/replication.go
@@ -38,7 +38,10 @@
 	discoveryLimit = 6 * time.Second
 	// pullTries is how often a peer is asked for the state of the slots.
 	pullTries = 2
-	// handoverLimit bounds how long a leaving instance hands over exceptions.
+	// reportLimit bounds how long an instance that is to leave reports its
+	// exceptions while it still owns its slots.
+	reportLimit = 30 * time.Second
+	// handoverLimit bounds how long a leaving instance hands over the rest.
 	handoverLimit = 8 * time.Second
 )
 
@@ -49,8 +52,9 @@
 	// first is in flight, so a target takes them in the order of sequence.
 	queues map[common.InstanceID][]*queuedBatch
 	acks   chan *replicationAck
-	// pending is the number of updates that entryd still holds back.
-	pending uint32
+	// looks counts the calls of takeDue that entryd answered, lastPending is the
+	// last of them with updates that no target has acknowledged.
+	looks, lastPending uint64
 }
 
 type queuedBatch struct {
@@ -92,7 +96,8 @@
 func (r *replicationController) takeDue(ctx context.Context) {
 	budget := r.transport.ReplicationBudget()
 	if budget < minReplicationBudget || r.queued() >= maxQueuedBatches {
-		return
+		// The call still tells what is pending.
+		budget = 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, entryTimeout)
 	defer cancel()
@@ -103,13 +108,16 @@
 	if err != nil {
 		return
 	}
-	r.mu.Lock()
-	r.pending = response.GetPending()
-	r.mu.Unlock()
 	for _, batch := range response.GetBatches() {
 		target := common.InstanceID(batch.GetTarget())
 		r.queues[target] = append(r.queues[target], &queuedBatch{batch: batch})
 	}
+	r.mu.Lock()
+	r.looks++
+	if response.GetPending() > 0 || r.queued() > 0 {
+		r.lastPending = r.looks
+	}
+	r.mu.Unlock()
 }
 
 func (r *replicationController) queued() int {
@@ -324,27 +332,30 @@
 	}
 }
 
-// handOver waits until entryd has no update left for the new owners.
-func (r *replicationController) handOver() {
-	deadline := r.now() + handoverLimit
-	idle := 0
-	for r.now() < deadline && idle < idleBeforeEnd {
+// waitReported waits until entryd has had no update left for the other instances
+// in the given number of looks in a row, or until the limit.
+func (r *replicationController) waitReported(limit time.Duration, looks uint64) {
+	deadline := r.now() + limit
+	r.mu.Lock()
+	first := r.looks
+	r.mu.Unlock()
+	for r.now() < deadline {
 		time.Sleep(replicationInterval)
 		r.mu.Lock()
-		pending := r.pending
+		idle := r.looks - max(r.lastPending, first)
 		peers := len(r.machine.Peers())
 		r.mu.Unlock()
-		if peers == 0 {
+		if peers == 0 || idle >= looks {
 			return
 		}
-		if pending == 0 {
-			idle++
-		} else {
-			idle = 0
-		}
 	}
 }
 
+// idleBeforeLeaving is the number of looks without pending updates before an
+// instance announces that it leaves: 600 ms, in which entryd gets a snapshot
+// that forbids exceptions.
+const idleBeforeLeaving = 3
+
 // idleBeforeEnd is the number of looks without pending updates before a leaving
 // instance ends: 2 s, in which the announcement also reaches the peers.
 const idleBeforeEnd = 10
--- a/internal/decision/membership/membership.go
+++ b/internal/decision/membership/membership.go
@@ -201,6 +201,8 @@
 	announcements uint64
 	// allowance bounds the piggyback further when few bytes may be sent.
 	allowance int
+	// preparingLeave is set from PrepareLeave on.
+	preparingLeave bool
 }
 
 // New returns a machine in state joining. The incarnation is a first guess: a
@@ -314,6 +316,13 @@
 	m.selfChanged(now)
 }
 
+// PrepareLeave keeps the view unsettled, so that this instance makes no more
+// exceptions while it still owns its slots.
+func (m *Machine) PrepareLeave() {
+	m.preparingLeave = true
+	m.version++
+}
+
 // Leave announces that this instance hands its slots over.
 func (m *Machine) Leave(now time.Duration) {
 	if m.self.State == common.MemberLeaving {
@@ -985,7 +994,7 @@
 // Settled reports whether every listed instance answers and no change of the
 // view is under way.
 func (m *Machine) Settled(now time.Duration) bool {
-	if m.self.State != common.MemberServing || m.Isolated(now) {
+	if m.self.State != common.MemberServing || m.preparingLeave || m.Isolated(now) {
 		return false
 	}
 	if now-m.lastChange < m.config.QuietPeriod {
--- a/internal/decision/membership/membership_test.go
+++ b/internal/decision/membership/membership_test.go
@@ -318,3 +318,20 @@
 	}
 	return true
 }
+
+// Guards against an instance that gives up its slots while it still makes
+// exceptions: its successor would not know the youngest of them.
+func TestPreparingLeaveKeepsTheSlotsAndUnsettlesTheView(t *testing.T) {
+	config := membership.DefaultConfig()
+	self := membership.Update{ID: 1, Name: "entry-1", Incarnation: 1}
+	machine := membership.New(config, self, 1, 0)
+	machine.SetCandidates(1, []membership.Candidate{{ID: 1, Name: "entry-1"}}, 0)
+	machine.Serve(0)
+	machine.PrepareLeave()
+	if machine.Settled(time.Hour) {
+		t.Error("the view is settled while the instance prepares to leave")
+	}
+	if state := machine.Self().State; state != common.MemberServing {
+		t.Errorf("state %v, want serving", state)
+	}
+}
