--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -15,19 +15,21 @@
 readonly LIMIT_S=41
 readonly START_MS=$(date +%s%3N)
 
-readonly PLATFORM=127.0.0.1:9000
-readonly FABRIC_INGRESS=127.0.0.1:6081
-readonly FABRIC_RETURN=127.0.0.1:6082
-readonly FABRIC_CONTROL=127.0.0.1:9001
-readonly CALLER_CONTROL=127.0.0.1:9002
-readonly ENTRY_NET=127.0.10
+# All addresses lie below NET, so that two runs do not collide.
+readonly NET=${BURDOCK_DEMO_NET:-127.0}
+readonly PLATFORM=$NET.0.1:9000
+readonly FABRIC_INGRESS=$NET.0.1:6081
+readonly FABRIC_RETURN=$NET.0.1:6082
+readonly FABRIC_CONTROL=$NET.0.1:9001
+readonly CALLER_CONTROL=$NET.0.1:9002
+readonly ENTRY_NET=$NET.10
 readonly ENTRIES="1 2 3 4 5"
 readonly RESTARTED=3
 readonly KILLED=2
 readonly DRAWINGS=10.90.0.1:80
 readonly DESK=10.90.0.2:80
 readonly DRAINED=drawing-1
-readonly DRAINED_CONTROL=127.0.20.1:8080
+readonly DRAINED_CONTROL=$NET.20.1:8080
 # Endpoint name, last byte of its address, service and slots.
 readonly ENDPOINTS="
 drawing-1 1 $DRAWINGS 64
@@ -288,7 +290,7 @@
   while read -r name byte service slots; do
     [ -n "$name" ] || continue
     start "$name" "$BIN/standin-endpoint" -name "$name" -services "$service" -slots "$slots" \
-      -tunnel "127.0.20.$byte:6081" -health "127.0.20.$byte:8080" -return $FABRIC_RETURN
+      -tunnel "$NET.20.$byte:6081" -health "$NET.20.$byte:8080" -return $FABRIC_RETURN
   done <<<"$ENDPOINTS"
   must "platform and fabric answer" 3 answering
   for i in $ENTRIES; do
@@ -307,9 +309,9 @@
 start_callers() {
   local endpoints=
   while read -r name byte _; do
-    [ -n "$name" ] && endpoints+=${endpoints:+,}127.0.20.$byte:8080
+    [ -n "$name" ] && endpoints+=${endpoints:+,}$NET.20.$byte:8080
   done <<<"$ENDPOINTS"
-  start caller "$BIN/standin-caller" -listen 127.0.0.1:6083 -fabric $FABRIC_INGRESS -control $CALLER_CONTROL \
+  start caller "$BIN/standin-caller" -listen $NET.0.1:6083 -fabric $FABRIC_INGRESS -control $CALLER_CONTROL \
     -callers 24 -seed 1 -drawings $DRAWINGS -boards $DESK -reports $DESK \
     -download-size 400000 -download-rate 100000 -requests-per-flow 20 -pause 150ms \
     -duration 22s -grace 12s -stall "${STALL_S}s" -endpoints "$endpoints" -summary "$OUT/summary.json"
@@ -321,7 +323,8 @@
   local release=$1 begin
   shift
   begin=$(elapsed_ms)
-  check "burdockctl publishes release $release" ctl publish "$RELEASES/release-$release.yaml"
+  sed "s/127\.0\./$NET./" "$RELEASES/release-$release.yaml" >"$OUT/release-$release.yaml"
+  check "burdockctl publishes release $release" ctl publish "$OUT/release-$release.yaml"
   must "release $release is in force on $# instances" 16 all_in_force "$release" "$@"
   local took=$(($(elapsed_ms) - begin))
   note "time to in force, release $release" "$took ms"
@@ -400,7 +403,7 @@
   local name byte misdelivered=0 options=0 malformed=0 late
   while read -r name byte _; do
     [ -n "$name" ] || continue
-    http "http://127.0.20.$byte:8080/control/counters" >"$OUT/$name.json"
+    http "http://$NET.20.$byte:8080/control/counters" >"$OUT/$name.json"
     misdelivered=$((misdelivered + $(number_of misdelivered <"$OUT/$name.json")))
     options=$((options + $(number_of with_options <"$OUT/$name.json")))
     malformed=$((malformed + $(number_of malformed <"$OUT/$name.json")))
