--- a/internal/decision/membership/membership.go
+++ b/internal/decision/membership/membership.go
@@ -154,8 +154,11 @@
 	// of a joining one.
 	unansweredSince time.Duration
 	failedProbes    int
-	sends           int
-	queued          bool
+	// outdated is set when the member itself states less than is known of it,
+	// because an earlier process had a higher incarnation or another state.
+	outdated bool
+	sends    int
+	queued   bool
 }
 
 type probe struct {
@@ -198,6 +201,8 @@
 	announcements uint64
 	// allowance bounds the piggyback further when few bytes may be sent.
 	allowance int
+	// preparingLeave is set from PrepareLeave on.
+	preparingLeave bool
 }
 
 // New returns a machine in state joining. The incarnation is a first guess: a
@@ -311,6 +316,13 @@
 	m.selfChanged(now)
 }
 
+// PrepareLeave keeps the view unsettled, so that this instance makes no more
+// exceptions while it still owns its slots.
+func (m *Machine) PrepareLeave() {
+	m.preparingLeave = true
+	m.version++
+}
+
 // Leave announces that this instance hands its slots over.
 func (m *Machine) Leave(now time.Duration) {
 	if m.self.State == common.MemberLeaving {
@@ -583,7 +595,7 @@
 		updates = append(updates, m.self)
 		limit -= m.self.Size()
 	}
-	if to.known && !to.reachable() {
+	if to.known && (!to.reachable() || to.outdated) {
 		told := to.update.compact()
 		updates = append(updates, told)
 		limit -= told.Size()
@@ -676,6 +688,7 @@
 	if !found {
 		return nil
 	}
+	sender.outdated = sender.statesLess(&message)
 	if message.Incarnation >= sender.update.Incarnation {
 		sender.lastHeard = now
 		sender.heard = true
@@ -692,6 +705,19 @@
 	return nil
 }
 
+// statesLess reports whether the message states less about its sender than is known.
+func (r *record) statesLess(message *Message) bool {
+	if message.Incarnation < r.update.Incarnation {
+		return true
+	}
+	for i := range message.Updates {
+		if own := &message.Updates[i]; own.ID == r.update.ID {
+			return supersedes(&r.update, own)
+		}
+	}
+	return r.outdated
+}
+
 // rejoinAfterLapse is called when a peer is heard again after the lease lapsed.
 func (m *Machine) rejoinAfterLapse(now time.Duration) {
 	if !m.lapsed {
@@ -968,7 +994,7 @@
 // Settled reports whether every listed instance answers and no change of the
 // view is under way.
 func (m *Machine) Settled(now time.Duration) bool {
-	if m.self.State != common.MemberServing || m.Isolated(now) {
+	if m.self.State != common.MemberServing || m.preparingLeave || m.Isolated(now) {
 		return false
 	}
 	if now-m.lastChange < m.config.QuietPeriod {
