--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -70,8 +70,10 @@
 func TestTooLongDatagramIsNotSent(t *testing.T) {
 	sender := open(t, "fukuoka")
 	d := ping()
-	d.Kind = &peerpb.Datagram_Replication{Replication: &entrypb.ReplicationBatch{
-		Exceptions: []*entrypb.ExceptionGroup{{Hashes: make([]uint64, 160)}},
+	d.Kind = &peerpb.Datagram_Replication{Replication: &peerpb.Replication{
+		Batches: []*entrypb.ReplicationBatch{{
+			Exceptions: []*entrypb.ExceptionGroup{{Hashes: make([]uint64, 160)}},
+		}},
 	}}
 	if err := sender.Send(sender.Address(), d); err == nil {
 		t.Fatalf("a datagram of %d bytes was sent", proto.Size(d))
@@ -93,7 +95,8 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	seconds := time.Since(began).Seconds()
-	if limit := seconds*SendBytesPerSecond + sendBurst - pingDebt + MaxDatagram; float64(sent) > limit {
+	limit := seconds*SendBytesPerSecond + (controlBurst-pingDebt)/bothDirections + MaxDatagram
+	if float64(sent) > limit {
 		t.Errorf("%d bytes in %.1f s, more than %.0f", sent, seconds, limit)
 	}
 	if sender.ReplicationBudget() > 0 {
