--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -18,30 +18,36 @@
 const (
 	benchFlows   = 1024
 	benchPayload = 64
-	benchWarmup  = 50 * time.Millisecond
-	benchWindow  = 250 * time.Millisecond
+	// benchEndpoints and benchPeers are those of one user today.
+	benchEndpoints = 15
+	benchPeers     = 4
+	benchWarmup    = 50 * time.Millisecond
+	benchWindow    = 250 * time.Millisecond
 )
 
-// sink counts the packets that arrive at one socket.
-type sink struct {
-	socket *net.UDPConn
-	count  atomic.Uint64
+// sinks counts the packets that arrive at several sockets.
+type sinks struct {
+	sockets []*net.UDPConn
+	count   atomic.Uint64
 }
 
-func openSink(b *testing.B) *sink {
+func openSinks(b *testing.B, count int) *sinks {
 	b.Helper()
-	sockets, err := listenAll(netip.MustParseAddrPort("127.0.0.1:0"), 1)
-	if err != nil {
-		b.Fatal(err)
+	s := &sinks{}
+	for range count {
+		sockets, err := listenAll(netip.MustParseAddrPort("127.0.0.1:0"), 1)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(func() { closeAll(sockets) })
+		s.sockets = append(s.sockets, sockets[0].(*net.UDPConn))
+		go s.run(sockets[0])
 	}
-	s := &sink{socket: sockets[0].(*net.UDPConn)}
-	b.Cleanup(func() { closeAll(sockets) })
-	go s.run()
 	return s
 }
 
-func (s *sink) run() {
-	conn := ipv4.NewPacketConn(s.socket)
+func (s *sinks) run(socket net.PacketConn) {
+	conn := ipv4.NewPacketConn(receiveConn{socket})
 	messages := benchMessages()
 	for {
 		n, err := conn.ReadBatch(messages, 0)
@@ -52,8 +58,12 @@
 	}
 }
 
-func (s *sink) address() netip.AddrPort {
-	return s.socket.LocalAddr().(*net.UDPAddr).AddrPort()
+func (s *sinks) endpoints() []*endpoint {
+	endpoints := make([]*endpoint, len(s.sockets))
+	for i, socket := range s.sockets {
+		endpoints[i] = &endpoint{socket}
+	}
+	return endpoints
 }
 
 func benchMessages() []ipv4.Message {
@@ -65,8 +75,8 @@
 }
 
 // startBare runs the forwarder that entryd is compared with: it reads and
-// writes batches as a worker does and does nothing else.
-func startBare(b *testing.B, to netip.AddrPort) netip.AddrPort {
+// writes batches as a worker does and sends them to the sinks in turn.
+func startBare(b *testing.B, s *sinks) netip.AddrPort {
 	b.Helper()
 	receivers, err := listenAll(netip.MustParseAddrPort("127.0.0.1:0"), 1)
 	if err != nil {
@@ -77,16 +87,16 @@
 		b.Fatal(err)
 	}
 	b.Cleanup(func() { closeAll(receivers); closeAll(senders) })
-	go bareForward(ipv4.NewPacketConn(receivers[0]), ipv4.NewPacketConn(senders[0]), net.UDPAddrFromAddrPort(to))
+	out := make([]ipv4.Message, maxBatch)
+	for i := range out {
+		out[i] = ipv4.Message{Buffers: make([][]byte, 1), Addr: s.sockets[i%len(s.sockets)].LocalAddr()}
+	}
+	go bareForward(ipv4.NewPacketConn(receiveConn{receivers[0]}), ipv4.NewPacketConn(senders[0]), out)
 	return receivers[0].LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
-func bareForward(receive, send *ipv4.PacketConn, to *net.UDPAddr) {
+func bareForward(receive, send *ipv4.PacketConn, out []ipv4.Message) {
 	in := benchMessages()
-	out := make([]ipv4.Message, maxBatch)
-	for i := range out {
-		out[i] = ipv4.Message{Buffers: make([][]byte, 1), Addr: to}
-	}
 	for {
 		n, err := receive.ReadBatch(in, 0)
 		if err != nil {
@@ -130,9 +140,9 @@
 	}()
 }
 
-// rate returns the packets a second that reach the sink through the forwarder
+// rate returns the packets a second that reach the sinks through the forwarder
 // while more are sent than it can take.
-func rate(b *testing.B, to netip.AddrPort, packets [][]byte, s *sink) float64 {
+func rate(b *testing.B, to netip.AddrPort, packets [][]byte, s *sinks) float64 {
 	b.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -162,10 +172,10 @@
 }
 
 // startOwner returns an instance that owns every slot and has all flows open.
-func startOwner(b *testing.B, s *sink) *instance {
+func startOwner(b *testing.B, s *sinks) *instance {
 	b.Helper()
 	owner := benchInstance(b, "owner")
-	request := snapshot([]*endpoint{{s.socket}}, owner)
+	request := snapshot(s.endpoints(), owner)
 	owner.apply(b, request)
 	owner.renew(b, 3*time.Second)
 	for i := range uint16(benchFlows) {
@@ -175,16 +185,18 @@
 	return owner
 }
 
-// startRelayer returns an instance that owns nothing and relays to the sink.
-func startRelayer(b *testing.B, s *sink) *instance {
+// startRelayer returns an instance that owns nothing and relays to the sinks.
+func startRelayer(b *testing.B, s *sinks) *instance {
 	b.Helper()
 	relayer := benchInstance(b, "relayer")
-	request := snapshot([]*endpoint{{s.socket}}, relayer)
+	request := snapshot(s.endpoints(), relayer)
 	request.Members[0].State = entrypb.MemberState_MEMBER_STATE_JOINING
-	request.Members = append(request.Members, &entrypb.Member{
-		Instance: 99, Name: "peer", Incarnation: 1,
-		EntryAddress: s.address().String(), State: entrypb.MemberState_MEMBER_STATE_SERVING,
-	})
+	for i, socket := range s.sockets {
+		request.Members = append(request.Members, &entrypb.Member{
+			Instance: uint32(100 + i), Name: "peer", Incarnation: 1,
+			EntryAddress: socket.LocalAddr().String(), State: entrypb.MemberState_MEMBER_STATE_SERVING,
+		})
+	}
 	relayer.apply(b, request)
 	return relayer
 }
@@ -193,18 +205,19 @@
 // One iteration measures each of them in turn, so that other load on the
 // machine meets all of them; the medians are reported.
 func BenchmarkLoopback(b *testing.B) {
-	s := openSink(b)
+	endpoints := openSinks(b, benchEndpoints)
+	peers := openSinks(b, benchPeers)
 	packets := benchPackets(b)
-	bare := startBare(b, s.address())
-	owner := startOwner(b, s)
-	relayer := startRelayer(b, s)
+	bare := startBare(b, endpoints)
+	owner := startOwner(b, endpoints)
+	relayer := startRelayer(b, peers)
 	var bareRates, ownerRates, relayRates, ownerRatios, relayRatios []float64
 	for b.Loop() {
 		owner.renew(b, 3*time.Second)
 		relayer.renew(b, 3*time.Second)
-		x := rate(b, bare, packets, s)
-		y := rate(b, owner.PacketAddress(), packets, s)
-		z := rate(b, relayer.PacketAddress(), packets, s)
+		x := rate(b, bare, packets, endpoints)
+		y := rate(b, owner.PacketAddress(), packets, endpoints)
+		z := rate(b, relayer.PacketAddress(), packets, peers)
 		bareRates = append(bareRates, x)
 		ownerRates = append(ownerRates, y)
 		relayRates = append(relayRates, z)
@@ -255,10 +268,10 @@
 
 // BenchmarkHandleOwner is the cost of a packet of an established flow.
 func BenchmarkHandleOwner(b *testing.B) {
-	benchmarkHandle(b, startOwner(b, openSink(b)).workers[0])
+	benchmarkHandle(b, startOwner(b, openSinks(b, benchEndpoints)).workers[0])
 }
 
 // BenchmarkHandleRelay is the cost of a packet that another instance owns.
 func BenchmarkHandleRelay(b *testing.B) {
-	benchmarkHandle(b, startRelayer(b, openSink(b)).workers[0])
+	benchmarkHandle(b, startRelayer(b, openSinks(b, benchEndpoints)).workers[0])
 }
