Send packets of equal length to one destination in one message

Cause: by profile, sendmmsg took 65% of a worker's time, nearly all of it in the kernel's path for each packet. UDP_SEGMENT takes the packets of a batch to one destination through it once. A refused message is sent packet by packet, and coalescing pauses for 10 s.

--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -252,8 +252,8 @@
 	for b.Loop() {
 		i := next % maxBatch
 		if i == 0 {
-			w.outCount = 0
 			x.now = w.server.now()
+			w.send.begin(x.now)
 			x.leaseValid = true
 		}
 		x.state = w.server.state.Load()
@@ -261,7 +261,7 @@
 		w.handle(i, time.Time{})
 		next++
 	}
-	if w.outCount == 0 {
+	if w.send.count == 0 {
 		b.Fatal("nothing to send")
 	}
 }
--- /dev/null
+++ b/internal/entry/sender.go
@@ -0,0 +1,183 @@
+package entry
+
+import (
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"time"
+	"unsafe"
+
+	"golang.org/x/net/ipv4"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// maxSegmentBytes keeps longer packets out of segmentation offload, which
+	// fails for segments above the path's MTU instead of fragmenting them.
+	maxSegmentBytes = 1400
+	// maxCoalescedBytes is below the longest UDP payload, 65,507 bytes.
+	maxCoalescedBytes = 60_000
+	// coalesceRetry is how long packets are sent singly after the kernel
+	// refused a coalesced message.
+	coalesceRetry = 10 * time.Second
+	// maxDestinations bounds the destinations that a sender remembers: the
+	// endpoints and members of one data centre at the target scale are about
+	// 1,360.
+	maxDestinations = 8192
+	// segmentSizeBytes is the length of the UDP_SEGMENT value.
+	segmentSizeBytes = 2
+)
+
+// destination is an address that packets are sent to.
+type destination struct {
+	address *net.UDPAddr
+	// batch is the batch that the destination was last used in, group the
+	// message that takes its packets there.
+	batch uint64
+	group int
+}
+
+// group is one message of a batch: packets of one length to one destination,
+// which the kernel takes in one pass through its stack (UDP_SEGMENT). The last
+// packet may be shorter.
+type group struct {
+	segment int
+	bytes   int
+	closed  bool
+	control []byte
+}
+
+// sender collects the packets of a batch and sends them. Packets to one
+// destination keep their order.
+type sender struct {
+	conn         *ipv4.PacketConn
+	destinations map[netip.AddrPort]*destination
+	batch        uint64
+	messages     [maxBatch]ipv4.Message
+	groups       [maxBatch]group
+	count        int
+	// singleUntil is when coalescing is tried again.
+	singleUntil time.Duration
+	coalesce    bool
+	// single sends the packets of a refused message.
+	single [1]ipv4.Message
+}
+
+func newSender(socket net.PacketConn) *sender {
+	s := &sender{
+		conn:         ipv4.NewPacketConn(socket),
+		destinations: make(map[netip.AddrPort]*destination),
+	}
+	for i := range s.groups {
+		s.groups[i].control = segmentControl()
+	}
+	s.single[0].Buffers = make([][]byte, 1)
+	return s
+}
+
+// segmentControl returns a control message for UDP_SEGMENT with length 0.
+func segmentControl() []byte {
+	control := make([]byte, unix.CmsgSpace(segmentSizeBytes))
+	header := (*unix.Cmsghdr)(unsafe.Pointer(&control[0]))
+	header.Level = unix.SOL_UDP
+	header.Type = unix.UDP_SEGMENT
+	header.SetLen(unix.CmsgLen(segmentSizeBytes))
+	return control
+}
+
+// begin starts a batch.
+func (s *sender) begin(now time.Duration) {
+	s.batch++
+	s.count = 0
+	s.coalesce = now >= s.singleUntil
+}
+
+// add queues a packet. It must stay unchanged until flush.
+func (s *sender) add(to netip.AddrPort, data []byte) {
+	d := s.destination(to)
+	if d.batch == s.batch && s.join(d.group, data) {
+		return
+	}
+	d.batch = s.batch
+	d.group = s.count
+	s.groups[s.count].segment = len(data)
+	s.groups[s.count].bytes = len(data)
+	s.groups[s.count].closed = !s.coalesce || len(data) > maxSegmentBytes
+	message := &s.messages[s.count]
+	message.Addr = d.address
+	message.Buffers = append(message.Buffers[:0], data)
+	message.OOB = nil
+	s.count++
+}
+
+// join adds the packet to a message if the kernel can separate it again.
+func (s *sender) join(index int, data []byte) bool {
+	g := &s.groups[index]
+	if g.closed || len(data) > g.segment || g.bytes+len(data) > maxCoalescedBytes {
+		return false
+	}
+	message := &s.messages[index]
+	message.Buffers = append(message.Buffers, data)
+	if message.OOB == nil {
+		binary.NativeEndian.PutUint16(g.control[unix.CmsgLen(0):], uint16(g.segment))
+		message.OOB = g.control
+	}
+	g.bytes += len(data)
+	g.closed = len(data) < g.segment
+	return true
+}
+
+// destination returns what is known about an address without allocating for one
+// that was used before.
+func (s *sender) destination(to netip.AddrPort) *destination {
+	if d := s.destinations[to]; d != nil {
+		return d
+	}
+	if len(s.destinations) >= maxDestinations {
+		clear(s.destinations)
+	}
+	d := &destination{address: net.UDPAddrFromAddrPort(to)}
+	s.destinations[to] = d
+	return d
+}
+
+// flush sends the batch. It returns the bytes that were sent and the packets
+// that could not be.
+func (s *sender) flush(now time.Duration) (bytes, failed int) {
+	pending := s.messages[:s.count]
+	for len(pending) > 0 {
+		sent, err := s.conn.WriteBatch(pending, 0)
+		sent = max(sent, 0)
+		for i := range sent {
+			bytes += pending[i].N
+		}
+		pending = pending[sent:]
+		if err == nil || len(pending) == 0 {
+			continue
+		}
+		more, lost := s.retry(&pending[0], now)
+		bytes += more
+		failed += lost
+		pending = pending[1:]
+	}
+	return bytes, failed
+}
+
+// retry sends the packets of a refused message one by one. A message of one
+// packet is not repeated.
+func (s *sender) retry(message *ipv4.Message, now time.Duration) (bytes, failed int) {
+	if len(message.Buffers) == 1 {
+		return 0, 1
+	}
+	s.singleUntil = now + coalesceRetry
+	for _, data := range message.Buffers {
+		s.single[0].Addr = message.Addr
+		s.single[0].Buffers[0] = data
+		if sent, err := s.conn.WriteBatch(s.single[:], 0); err != nil || sent != 1 {
+			failed++
+			continue
+		}
+		bytes += len(data)
+	}
+	return bytes, failed
+}
--- /dev/null
+++ b/internal/entry/sender_test.go
@@ -0,0 +1,172 @@
+package entry
+
+import (
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// openSender returns a sender and its socket.
+func openSender(t *testing.T) (*sender, *net.UDPConn) {
+	t.Helper()
+	sockets, err := openSenders(netip.MustParseAddr("127.0.0.1"), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { closeAll(sockets) })
+	return newSender(sockets[0]), sockets[0].(*net.UDPConn)
+}
+
+func (e *endpoint) addrPort() netip.AddrPort {
+	return e.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// texts returns the next datagrams that arrive.
+func (e *endpoint) texts(t *testing.T, count int) []string {
+	t.Helper()
+	buffer := make([]byte, 64<<10)
+	var received []string
+	for range count {
+		if err := e.SetReadDeadline(time.Now().Add(receiveTimeout)); err != nil {
+			t.Fatal(err)
+		}
+		n, err := e.Read(buffer)
+		if err != nil {
+			t.Fatalf("%d datagrams arrived, then %v", len(received), err)
+		}
+		received = append(received, string(buffer[:n]))
+	}
+	return received
+}
+
+// mixedPackets has equal, shorter, longer and very long packets.
+func mixedPackets() []string {
+	return []string{
+		"aaaa", "bbbb", "cc", "dddd", "eeeeeeee", "ffff", "g",
+		strings.Repeat("h", maxSegmentBytes+1), strings.Repeat("i", maxSegmentBytes+1), "jj", "kk",
+	}
+}
+
+// Guards against packets that arrive joined, cut or out of order after they
+// were sent in one message.
+func TestSenderKeepsPacketsApartAndInOrder(t *testing.T) {
+	s, _ := openSender(t)
+	e, f := openEndpoint(t), openEndpoint(t)
+	const batches = 3
+	for range batches {
+		s.begin(0)
+		total := 0
+		for _, data := range mixedPackets() {
+			s.add(e.addrPort(), []byte(data))
+			s.add(f.addrPort(), []byte("x"+data))
+			total += 2*len(data) + 1
+		}
+		if s.count >= 2*len(mixedPackets()) {
+			t.Fatalf("%d messages for %d packets: nothing was coalesced", s.count, 2*len(mixedPackets()))
+		}
+		if bytes, failed := s.flush(0); bytes != total || failed != 0 {
+			t.Fatalf("sent %d of %d bytes, %d packets failed", bytes, total, failed)
+		}
+		if got := e.texts(t, len(mixedPackets())); !slices.Equal(got, mixedPackets()) {
+			t.Fatalf("received %q", got)
+		}
+		for i, got := range f.texts(t, len(mixedPackets())) {
+			if got != "x"+mixedPackets()[i] {
+				t.Fatalf("packet %d: %q", i, got)
+			}
+		}
+	}
+}
+
+// Guards against lost packets on a path that does not take coalesced messages,
+// and against a refusal that is provoked again with every batch.
+func TestSenderFallsBackToSinglePackets(t *testing.T) {
+	s, socket := openSender(t)
+	e := openEndpoint(t)
+	// The kernel refuses segmentation for sockets that send no checksums.
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var optionErr error
+	err = raw.Control(func(descriptor uintptr) {
+		optionErr = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_NO_CHECK, 1)
+	})
+	if err != nil || optionErr != nil {
+		t.Fatal(err, optionErr)
+	}
+	send := func(now time.Duration) int {
+		s.begin(now)
+		for _, data := range mixedPackets() {
+			s.add(e.addrPort(), []byte(data))
+		}
+		if _, failed := s.flush(now); failed != 0 {
+			t.Fatalf("%d packets failed", failed)
+		}
+		if got := e.texts(t, len(mixedPackets())); !slices.Equal(got, mixedPackets()) {
+			t.Fatalf("received %q", got)
+		}
+		return s.count
+	}
+	if first := send(0); first == len(mixedPackets()) {
+		t.Fatal("the first batch was not coalesced")
+	}
+	if second := send(coalesceRetry / 2); second != len(mixedPackets()) {
+		t.Fatalf("coalesced again before the retry: %d messages", second)
+	}
+	if third := send(coalesceRetry); third == len(mixedPackets()) {
+		t.Fatal("coalescing was not tried again")
+	}
+}
+
+// Guards against a packet that cannot be sent and takes the rest of the batch
+// with it.
+func TestSenderSkipsPacketThatFails(t *testing.T) {
+	s, _ := openSender(t)
+	e := openEndpoint(t)
+	s.begin(0)
+	s.add(e.addrPort(), []byte("first"))
+	// A UDP payload has at most 65,507 bytes.
+	s.add(e.addrPort(), make([]byte, 65_508))
+	s.add(e.addrPort(), []byte("last!"))
+	s.add(e.addrPort(), []byte("longer than the first"))
+	if _, failed := s.flush(0); failed != 1 {
+		t.Fatalf("%d packets failed", failed)
+	}
+	if got := e.texts(t, 3); !slices.Equal(got, []string{"first", "last!", "longer than the first"}) {
+		t.Fatalf("received %q", got)
+	}
+}
+
+// Guards against unbounded memory for destinations that come and go.
+func TestSenderForgetsDestinations(t *testing.T) {
+	s, _ := openSender(t)
+	for i := range 2 * maxDestinations {
+		s.destination(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 6081))
+	}
+	if len(s.destinations) > maxDestinations {
+		t.Fatalf("%d destinations", len(s.destinations))
+	}
+}
+
+// Guards against garbage for each sent packet.
+func TestSenderDoesNotAllocate(t *testing.T) {
+	s, _ := openSender(t)
+	e := openEndpoint(t)
+	to := e.addrPort()
+	data := []byte("packet")
+	allocations := testing.AllocsPerRun(100, func() {
+		s.begin(0)
+		for range maxBatch {
+			s.add(to, data)
+		}
+	})
+	if allocations != 0 {
+		t.Fatalf("%v allocations for %d packets", allocations, maxBatch)
+	}
+}
--- a/internal/entry/worker.go
+++ b/internal/entry/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/netip"
 	"time"
 
 	"golang.org/x/net/ipv4"
@@ -19,35 +18,27 @@
 	// maxPacketBytes takes a jumbo frame of 9,000 bytes with its Geneve header
 	// and options. A longer packet is counted as truncated.
 	maxPacketBytes = 9 * 1024
-	// maxAddresses bounds the destinations for which a worker keeps a socket
-	// address: the endpoints and members of one data centre at the target
-	// scale are about 1,360.
-	maxAddresses = 8192
 )
 
 // worker moves packets from one socket through the filter chain.
 type worker struct {
 	server  *Server
 	receive *ipv4.PacketConn
-	send    *ipv4.PacketConn
+	send    *sender
 
 	chain    []filter
 	exchange exchange
 	traffic  traffic
 
-	buffers   [maxBatch][]byte
-	in        [maxBatch]ipv4.Message
-	out       [maxBatch]ipv4.Message
-	outCount  int
-	addresses map[netip.AddrPort]*net.UDPAddr
+	buffers [maxBatch][]byte
+	in      [maxBatch]ipv4.Message
 }
 
 func newWorker(server *Server, receive, send net.PacketConn) *worker {
 	w := &worker{
-		server:    server,
-		receive:   ipv4.NewPacketConn(receiveConn{receive}),
-		send:      ipv4.NewPacketConn(send),
-		addresses: make(map[netip.AddrPort]*net.UDPAddr),
+		server:  server,
+		receive: ipv4.NewPacketConn(receiveConn{receive}),
+		send:    newSender(send),
 	}
 	w.chain = []filter{
 		&decodeFilter{},
@@ -64,7 +55,6 @@
 	for i := range w.buffers {
 		w.buffers[i] = make([]byte, packet.RelayHeaderLength+maxPacketBytes)
 		w.in[i].Buffers = [][]byte{w.buffers[i][packet.RelayHeaderLength:]}
-		w.out[i].Buffers = make([][]byte, 1)
 	}
 	return w
 }
@@ -89,14 +79,18 @@
 	w.exchange.now = now
 	w.exchange.leaseValid = w.server.leaseValid(now)
 	batchState := w.server.state.Load()
-	w.outCount = 0
+	w.send.begin(now)
 	bytes := 0
 	for i := range count {
 		w.exchange.state = batchState
 		w.handle(i, started)
 		bytes += w.in[i].N
 	}
-	w.flush()
+	sentBytes, failed := w.send.flush(now)
+	w.traffic.sentBytes.Add(uint64(sentBytes))
+	for range failed {
+		w.traffic.codes.add(resultcode.PacketSendFailed)
+	}
 	w.traffic.receivedPackets.Add(uint64(count))
 	w.traffic.receivedBytes.Add(uint64(bytes))
 	w.traffic.lastReceived.Store(int64(now))
@@ -121,9 +115,7 @@
 		return
 	}
 	w.count(x.action.Kind)
-	w.out[w.outCount].Buffers[0] = x.out
-	w.out[w.outCount].Addr = w.address(x.to)
-	w.outCount++
+	w.send.add(x.to, x.out)
 }
 
 func (w *worker) count(kind flow.ActionKind) {
@@ -136,37 +128,3 @@
 		w.traffic.resets.Add(1)
 	}
 }
-
-// address returns the socket address of a destination without allocating for
-// one that was used before.
-func (w *worker) address(to netip.AddrPort) *net.UDPAddr {
-	if address := w.addresses[to]; address != nil {
-		return address
-	}
-	if len(w.addresses) >= maxAddresses {
-		clear(w.addresses)
-	}
-	address := net.UDPAddrFromAddrPort(to)
-	w.addresses[to] = address
-	return address
-}
-
-// flush sends the packets of the batch. A packet that cannot be sent is counted
-// and skipped.
-func (w *worker) flush() {
-	pending := w.out[:w.outCount]
-	for len(pending) > 0 {
-		sent, err := w.send.WriteBatch(pending, 0)
-		sent = max(sent, 0)
-		bytes := 0
-		for i := range sent {
-			bytes += pending[i].N
-		}
-		w.traffic.sentBytes.Add(uint64(bytes))
-		pending = pending[sent:]
-		if err != nil && len(pending) > 0 {
-			w.traffic.codes.add(resultcode.PacketSendFailed)
-			pending = pending[1:]
-		}
-	}
-}
