--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -176,8 +176,8 @@
 	b.Helper()
 	owner := benchInstance(b, "owner")
 	request := snapshot(s.endpoints(), owner)
-	owner.apply(b, request)
 	owner.renew(b, 3*time.Second)
+	owner.apply(b, request)
 	for i := range uint16(benchFlows) {
 		owner.send(b, syn(b, 20000+i))
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -80,6 +80,8 @@
 
 	leaseLock sync.Mutex
 	lease     lease.Lease
+	// awaitSnapshot keeps the instance fenced although its lease is valid.
+	awaitSnapshot bool
 
 	receivers []net.PacketConn
 	senders   []net.PacketConn
@@ -295,7 +297,27 @@
 func (s *Server) leaseValid(now time.Duration) bool {
 	s.leaseLock.Lock()
 	defer s.leaseLock.Unlock()
-	return s.lease.Valid(now)
+	return s.lease.Valid(now) && !s.awaitSnapshot
+}
+
+// renewLease extends the lease. After a lapse, the slots that the tables give to
+// this instance may have another owner: controld then makes the instance rejoin
+// and sends a snapshot, and until that arrives the instance stays fenced.
+func (s *Server) renewLease(duration time.Duration, incarnation uint64) (wasFenced bool, err error) {
+	s.leaseLock.Lock()
+	defer s.leaseLock.Unlock()
+	wasFenced, err = s.lease.Renew(s.now(), duration, incarnation)
+	if err == nil && wasFenced && s.state.Load().ownsSlots() {
+		s.awaitSnapshot = true
+	}
+	return wasFenced, err
+}
+
+// snapshotArrived ends the wait after a lapse.
+func (s *Server) snapshotArrived() {
+	s.leaseLock.Lock()
+	defer s.leaseLock.Unlock()
+	s.awaitSnapshot = false
 }
 
 func (s *Server) fenced() bool {
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -212,8 +212,8 @@
 func TestForwardsFlowToOneEndpoint(t *testing.T) {
 	a := startInstance(t, "entry-a", nil, nil)
 	e := openEndpoint(t)
-	a.apply(t, snapshot([]*endpoint{e}, a))
 	a.renew(t, 3*time.Second)
+	a.apply(t, snapshot([]*endpoint{e}, a))
 	sent := syn(t, 40000)
 	a.send(t, sent)
 	got := e.receive(t)
@@ -240,8 +240,8 @@
 	b := startInstance(t, "entry-b", nil, nil)
 	e := openEndpoint(t)
 	for _, i := range []*instance{a, b} {
-		i.apply(t, snapshot([]*endpoint{e}, a, b))
 		i.renew(t, 3*time.Second)
+		i.apply(t, snapshot([]*endpoint{e}, a, b))
 	}
 	const flows = 50
 	for port := range uint16(flows) {
@@ -261,7 +261,7 @@
 	}
 }
 
-// Guards against a packet with hop count 1 that travels on.
+// Guards against a packet with the highest hop count that travels on.
 func TestHandlesRelayedPacketLocally(t *testing.T) {
 	a := startInstance(t, "entry-a", nil, nil)
 	e := openEndpoint(t)
@@ -271,10 +271,10 @@
 		Instance: 99, Name: "entry-z", Incarnation: 1,
 		EntryAddress: peer.LocalAddr().String(), State: entrypb.MemberState_MEMBER_STATE_SERVING,
 	})
-	a.apply(t, request)
 	a.renew(t, 3*time.Second)
+	a.apply(t, request)
 	data := make([]byte, 12)
-	data[0] = 1
+	data[0] = packet.MaxHopCount
 	binary.BigEndian.PutUint32(data[4:8], 99)
 	option := &layers.GeneveOption{Class: 0xFF42, Type: 1, Data: data}
 	const flows = 20
@@ -283,7 +283,7 @@
 		e.receive(t)
 	}
 	if _, found := peer.receiveWithin(t, silence); found {
-		t.Fatal("a packet with hop count 1 was relayed")
+		t.Fatal("a packet with the highest hop count was relayed")
 	}
 }
 
@@ -293,8 +293,8 @@
 	a := startInstance(t, "entry-a", func(s *Settings) {
 		s.FabricReturn = fabric.LocalAddr().(*net.UDPAddr).AddrPort()
 	}, nil)
-	a.apply(t, snapshot(nil, a))
 	a.renew(t, 3*time.Second)
+	a.apply(t, snapshot(nil, a))
 	a.send(t, syn(t, 40000))
 	reset := fabric.receive(t)
 	if !reset.ResetFlag || !reset.Ack || reset.Sequence != 0 || reset.Tuple.DestinationPort != 40000 {
@@ -317,8 +317,8 @@
 	waitFor(t, "drop without tables", counted(resultcode.DroppedNoTables))
 	request := snapshot([]*endpoint{e}, a)
 	request.Services[0].Port = 80
-	a.apply(t, request)
 	a.renew(t, 3*time.Second)
+	a.apply(t, request)
 	a.send(t, syn(t, 40000))
 	waitFor(t, "drop without service", counted(resultcode.PacketNoService))
 	a.send(t, syn(t, 40000)[:20])
@@ -333,11 +333,11 @@
 	a := startInstance(t, "entry-a", nil, nil)
 	b := startInstance(t, "entry-b", nil, nil)
 	e := openEndpoint(t)
+	b.renew(t, 3*time.Second)
+	a.renew(t, 20*time.Millisecond)
 	for _, i := range []*instance{a, b} {
 		i.apply(t, snapshot([]*endpoint{e}, a, b))
 	}
-	b.renew(t, 3*time.Second)
-	a.renew(t, 20*time.Millisecond)
 	time.Sleep(40 * time.Millisecond)
 	const flows = 20
 	for port := range uint16(flows) {
@@ -353,13 +353,37 @@
 	}
 }
 
+// Guards against an instance that was paused past its lease and then decides
+// with tables that give it slots of another owner by now.
+func TestLapsedLeaseWaitsForSnapshot(t *testing.T) {
+	a := startInstance(t, "entry-a", nil, nil)
+	e := openEndpoint(t)
+	a.renew(t, 20*time.Millisecond)
+	request := snapshot([]*endpoint{e}, a)
+	a.apply(t, request)
+	time.Sleep(40 * time.Millisecond)
+	a.renew(t, 3*time.Second)
+	if !a.fenced() {
+		t.Fatal("the old tables are in use after the lapse")
+	}
+	a.renew(t, 3*time.Second)
+	if !a.fenced() {
+		t.Fatal("a second renewal put the old tables in use")
+	}
+	request.Sequence++
+	a.apply(t, request)
+	if a.fenced() {
+		t.Fatal("fenced after the new snapshot")
+	}
+}
+
 // Guards against a stop that cuts off packets which peers still send, and
 // against one that never ends.
 func TestStopWaitsForQuiet(t *testing.T) {
 	a := startInstance(t, "entry-a", nil, nil)
 	e := openEndpoint(t)
-	a.apply(t, snapshot([]*endpoint{e}, a))
 	a.renew(t, 3*time.Second)
+	a.apply(t, snapshot([]*endpoint{e}, a))
 	const quiet = 200 * time.Millisecond
 	type result struct {
 		quiet bool
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -67,14 +67,13 @@
 		s.shards[i].state = next
 		s.shards[i].mu.Unlock()
 	}
+	s.snapshotArrived()
 	return nil
 }
 
 // RenewLease implements entrypb.Entry.
 func (s *service) RenewLease(_ context.Context, request *entrypb.RenewLeaseRequest) (*entrypb.RenewLeaseResponse, error) {
-	s.server.leaseLock.Lock()
-	defer s.server.leaseLock.Unlock()
-	wasFenced, err := s.server.lease.Renew(s.server.now(), milliseconds(request.GetDurationMs()), request.GetIncarnation())
+	wasFenced, err := s.server.renewLease(milliseconds(request.GetDurationMs()), request.GetIncarnation())
 	return &entrypb.RenewLeaseResponse{ResultCode: uint32(codeOf(err)), WasFenced: wasFenced}, nil
 }
 
--- a/internal/entry/service_test.go
+++ b/internal/entry/service_test.go
@@ -125,8 +125,8 @@
 			if drained {
 				request.Services[0].Endpoints[0].State = entrypb.EndpointState_ENDPOINT_STATE_DRAINING
 			}
-			i.apply(t, request)
 			i.renew(t, 3*time.Second)
+			i.apply(t, request)
 		}
 	}
 	apply(false, a, b)
@@ -204,8 +204,8 @@
 func TestSnapshotsDuringTraffic(t *testing.T) {
 	a := startInstance(t, "entry-a", nil, nil)
 	e := openEndpoint(t)
-	a.apply(t, snapshot([]*endpoint{e}, a))
 	a.renew(t, 3*time.Second)
+	a.apply(t, snapshot([]*endpoint{e}, a))
 	const flows, snapshots = 200, 50
 	var senders sync.WaitGroup
 	senders.Go(func() {
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -39,6 +39,20 @@
 	return s
 }
 
+// ownsSlots reports whether the view lets this instance own slots.
+func (s *state) ownsSlots() bool {
+	if s == nil {
+		return false
+	}
+	for i := range s.snapshot.Members {
+		member := &s.snapshot.Members[i]
+		if member.ID == s.snapshot.Self {
+			return member.Owns()
+		}
+	}
+	return false
+}
+
 // viewHash is the same for equal sets of members in any order.
 func viewHash(members []common.Member) uint32 {
 	var sum uint64
--- a/internal/entry/tracing_test.go
+++ b/internal/entry/tracing_test.go
@@ -21,8 +21,8 @@
 	b := startInstance(t, "entry-b", all, tracer)
 	e := openEndpoint(t)
 	for _, i := range []*instance{a, b} {
-		i.apply(t, snapshot([]*endpoint{e}, a, b))
 		i.renew(t, 3*time.Second)
+		i.apply(t, snapshot([]*endpoint{e}, a, b))
 	}
 	port := uint16(40000)
 	for a.totals().relayed == 0 {
--- a/internal/packet/packet_test.go
+++ b/internal/packet/packet_test.go
@@ -188,7 +188,7 @@
 		{"ethernet inside", outer(outer(syn(), 2, 0x65), 3, 0x58), resultcode.PacketUnsupported},
 		{"unknown critical option", buildTCP(t, testGeneve(&layers.GeneveOption{Class: 1, Type: 0x80}), &layers.TCP{SYN: true}, nil), resultcode.PacketUnsupported},
 		{"two relay options", buildTCP(t, testGeneve(relayOption(0), relayOption(0)), &layers.TCP{SYN: true}, nil), resultcode.PacketMalformed},
-		{"hop count 2", buildTCP(t, testGeneve(relayOption(2)), &layers.TCP{SYN: true}, nil), resultcode.PacketMalformed},
+		{"hop count above the highest", buildTCP(t, testGeneve(relayOption(MaxHopCount+1)), &layers.TCP{SYN: true}, nil), resultcode.PacketMalformed},
 		{"short relay option", buildTCP(t, testGeneve(&layers.GeneveOption{Class: relayOptionClass, Type: relayOptionType, Data: make([]byte, 8)}), &layers.TCP{SYN: true}, nil), resultcode.PacketMalformed},
 		{"inner version 6", edit(syn(), 0, 0x65), resultcode.PacketMalformed},
 		{"inner header length 4", edit(syn(), 0, 0x44), resultcode.PacketMalformed},
