--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -114,6 +114,12 @@
 		"Flows that got an endpoint.", nil, nil)
 	descFlowsRefused = prometheus.NewDesc("burdock_entry_flows_refused_total",
 		"First packets that were refused.", nil, nil)
+	descFlowsAdopted = prometheus.NewDesc("burdock_entry_flows_adopted_total",
+		"Flows that were first seen after their first packet.", nil, nil)
+	descExceptionsLost = prometheus.NewDesc("burdock_entry_exceptions_lost_total",
+		"Exceptions of other owners that found no room.", nil, nil)
+	descPendingUpdates = prometheus.NewDesc("burdock_entry_pending_updates",
+		"Replication updates that no instance has acknowledged.", nil, nil)
 	descExceptionsOwned = prometheus.NewDesc("burdock_entry_owned_exceptions",
 		"Exceptions of flows that this instance owns.", nil, nil)
 	descExceptionsHeld = prometheus.NewDesc("burdock_entry_held_exceptions",
@@ -129,6 +135,7 @@
 	for _, desc := range []*prometheus.Desc{
 		descResults, descReceivedPackets, descReceivedBytes, descSentBytes, descForwarded, descRelayed,
 		descResets, descResetsWithheld, descOpenFlows, descMaxFlows, descFlowsOpened, descFlowsRefused,
+		descFlowsAdopted, descExceptionsLost, descPendingUpdates,
 		descExceptionsOwned, descExceptionsHeld, descFenced, descRelease,
 	} {
 		out <- desc
@@ -159,6 +166,9 @@
 	gauge(descMaxFlows, float64(flows.MaxFlows))
 	counter(descFlowsOpened, flows.FlowsOpened)
 	counter(descFlowsRefused, flows.FlowsRefused)
+	counter(descFlowsAdopted, flows.FlowsAdopted)
+	counter(descExceptionsLost, flows.ExceptionsLost)
+	gauge(descPendingUpdates, float64(flows.Pending))
 	gauge(descExceptionsOwned, float64(flows.ExceptionsOwned))
 	gauge(descExceptionsHeld, float64(flows.ExceptionsHeld))
 	fenced := 0.0
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -345,6 +345,7 @@
 		sum.FlowsOpened += part.FlowsOpened
 		sum.FlowsRefused += part.FlowsRefused
 		sum.FlowsAdopted += part.FlowsAdopted
+		sum.ExceptionsLost += part.ExceptionsLost
 		sum.Pending += part.Pending
 	}
 	return sum
