Hand over slots by asking the former owner, with property tests

Cause: the tests drew sequences in which planned changes break flows: views differ for part of a second, so a packet reached the new owner, or an instance that had not seen the change, before the report of its flow. Ruled out: handling a relayed packet locally always (breaks flows when the sender has the newer view); the former owner deciding until a fixed time (two instances then decide for one flow). Conclusion: an instance that has not seen a flow asks the former owner, or the owner in its view, within 6 s of the change and 4 hops.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,11 @@
 	go test -race $(PACKAGES)
 	cd standins && go vet ./... && go test ./...
 
+# Property tests with a random seed, which a failure prints.
+SOAK_RUNS ?= 5000
+soak:
+	BURDOCKRELAY_SOAK_RUNS=$(SOAK_RUNS) go test -count=1 -timeout 2h -v -run 'Planned|Kills|Freezes|Partitions|Combined|FullTable' ./internal/decision/flow
+
 tools: $(GOLANGCI)
 
 $(TOOLS)/golangci-lint:
--- a/internal/decision/flow/batch.go
+++ b/internal/decision/flow/batch.go
@@ -103,7 +103,7 @@
 			continue
 		}
 		b.wait(e)
-		lost := state.owner != b.tables.self && !b.shard.limits.ablation.noForeignRule
+		lost := state.owner != b.tables.self
 		if !b.complete || e.has(flagSending) || (!lost && now-e.opened < leastAge) {
 			continue
 		}
@@ -112,7 +112,7 @@
 		}
 		b.groups.add(e.service, e.endpoint, e.hash)
 		b.sent.flows = append(b.sent.flows, sentFlow{item.position, item.hash, e.endpoint})
-		e.flags |= flagSending
+		e.flags = e.flags&^flagStale | flagSending
 	}
 }
 
--- a/internal/decision/flow/choose.go
+++ b/internal/decision/flow/choose.go
@@ -18,10 +18,9 @@
 	if target == nil {
 		return nil, resultcode.RefusedNoEndpoint
 	}
-	if former := s.formerUDP(t, p); former != nil {
-		return former, resultcode.OK
-	}
-	if s.mayDeviate(t, p, now) {
+	if former := s.formerDefault(t, p, now); former != nil {
+		target = former
+	} else if s.mayDeviate(t, p, now) {
 		target = s.deviate(t, p, target, now)
 	}
 	if s.atLimit(t, service, target) {
@@ -44,7 +43,7 @@
 		return false
 	}
 	state := s.slot(p.Hash)
-	return state.former == 0 || now-state.changed >= handoverKnown
+	return state.former == 0 || now-state.gained >= handover
 }
 
 func (s *Shard) deviate(t *Tables, p *Packet, usual *endpoint, now time.Duration) *endpoint {
@@ -147,15 +146,20 @@
 	}
 }
 
-// formerUDP returns the endpoint of a UDP flow that may be older than this
-// instance's ownership of its slot, or nil. It prefers no leaving endpoint,
-// because a new flow cannot be told from an old one.
-func (s *Shard) formerUDP(t *Tables, p *Packet) *endpoint {
-	if p.Tuple.Protocol != common.ProtocolUDP || len(s.slotBases) == 0 {
+// formerDefault returns the endpoint that a flow has if it is older than this
+// instance's ownership of its slot, or nil. A first packet may be a late
+// duplicate, and a UDP flow shows no beginning. A leaving endpoint is not
+// chosen: its flows were reported, and it gets no new ones.
+func (s *Shard) formerDefault(t *Tables, p *Packet, now time.Duration) *endpoint {
+	base, found := s.slotBases[slotService{p.Hash.Slot(), p.Service.service.ID}]
+	if !found {
+		return nil
+	}
+	if p.Tuple.Protocol == common.ProtocolTCP && now-base.since >= lateDuplicateLife {
 		return nil
 	}
-	former := p.Service.endpoints[s.resolve(t, p.Service, p.Hash)]
-	if former == nil || !former.eligible {
+	former := p.Service.endpoints[base.table.Default(p.Hash.Bucket())]
+	if former == nil || !former.eligible || s.atLimit(t, p.Service, former) {
 		return nil
 	}
 	return former
--- a/internal/decision/flow/entries.go
+++ b/internal/decision/flow/entries.go
@@ -32,7 +32,8 @@
 	flagHeld
 	// flagNoTuple marks a reported flow of which only the hash is known.
 	flagNoTuple
-	// flagGuessed marks a flow whose endpoint was taken from a default table.
+	// flagGuessed marks a flow whose endpoint was taken from a default table or
+	// from a time before another instance owned the slot.
 	flagGuessed
 	// flagSequence and flagPrevious are set when the numbers are known.
 	flagSequence
@@ -40,6 +41,9 @@
 	// flagFin and flagReset are set when the caller ended the connection.
 	flagFin
 	flagReset
+	// flagClaimed marks a flow that this instance still handles although the new
+	// owner of its slot has reported it.
+	flagClaimed
 	// flagQueued marks a flow in the queue of updates.
 	flagQueued
 	// flagSending marks a flow in a batch that is not acknowledged.
@@ -123,6 +127,12 @@
 	return t.flows() >= t.limits.MaxFlows
 }
 
+// crowded reports whether there is no room for an established flow either. Such
+// flows may exceed the limit of flows and use the room for held ones.
+func (t *entryTable) crowded() bool {
+	return t.used >= t.limits.MaxFlows+t.limits.MaxExceptions
+}
+
 func (t *entryTable) heldFull() bool {
 	return t.held >= t.limits.MaxExceptions
 }
--- a/internal/decision/flow/expire.go
+++ b/internal/decision/flow/expire.go
@@ -45,7 +45,12 @@
 			// The owner sees the packets and withdraws the flow when it ends.
 			e.seen = now
 		}
-	case !own && now-state.changed >= handoverKnown && !s.needsReport(s.tables, e):
+	case !own && now-state.lost >= 2*handover && !s.needsReport(s.tables, e):
+		// The next owner of a slot that moved again needs the flow, too.
+		if e.has(flagClaimed) {
+			s.handBack(s.tables, e, state.owner, e.service, e.endpoint, now)
+			return false
+		}
 		s.forget(s.tables, e)
 		return true
 	}
@@ -87,7 +92,7 @@
 		service := s.tables.service(key.service)
 		lost := s.slots[key.slot%shardSlots].owner != s.tables.self
 		idle := service != nil && now-base.since < service.idleTimeout()
-		if idle && (!lost || now-s.slots[key.slot%shardSlots].changed < handoverKnown) {
+		if idle && (!lost || now-s.slots[key.slot%shardSlots].lost < 2*handover) {
 			continue
 		}
 		delete(s.slotBases, key)
--- a/internal/decision/flow/handle_test.go
+++ b/internal/decision/flow/handle_test.go
@@ -138,7 +138,7 @@
 		if fenced.Kind != Relay || fenced.Code != resultcode.RouteFenced {
 			t.Fatalf("fenced: %+v", fenced)
 		}
-		p.HopCount = 1
+		p.HopCount = maxHops
 		if relayed := handle(p, 0, true); relayed.Kind != Forward {
 			t.Fatalf("relayed packet: %+v", relayed)
 		}
--- a/internal/decision/flow/packet.go
+++ b/internal/decision/flow/packet.go
@@ -74,15 +74,14 @@
 
 // ablation is set by tests only.
 type ablation struct {
-	noHandover    bool // unknown flows of a gained slot are not sent to its former owner
-	noExceptions  bool // exceptions are not sent
-	noSlotBases   bool // the base of a gained slot is not kept
-	eagerBases    bool // a new base is sent before the exceptions to it
-	noRefusals    bool // refused flows are not remembered
-	reuseMoves    bool // a new sequence number moves a flow off a leaving endpoint at once
-	expireHeld    bool // held flows expire although their owner lives
-	tableWins     bool // a table stays in use after the instance rejoined
-	noForeignRule bool // flows of lost slots wait for the least age
+	noHandover   bool // unknown flows of a gained slot are not sent to its former owner
+	noExceptions bool // exceptions are not sent
+	noSlotBases  bool // the base of a gained slot is not kept
+	eagerBases   bool // a new base is sent before the exceptions to it
+	noRefusals   bool // refused flows are not remembered
+	reuseMoves   bool // a new sequence number moves a flow off a leaving endpoint at once
+	expireHeld   bool // held flows expire although their owner lives
+	tableWins    bool // a table stays in use after the instance rejoined
 }
 
 // Stats holds the counters of one shard.
--- /dev/null
+++ b/internal/decision/flow/property_test.go
@@ -0,0 +1,119 @@
+package flow
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"burdockrelay.example/burdockrelay/common"
+)
+
+const (
+	// propertySeed fixes the drawn cases in continuous integration.
+	propertySeed = 20261204
+	// propertyRuns is the number of cases of one property.
+	propertyRuns = 60
+	// ablationRuns bounds the cases that look for a failure without a mechanism.
+	ablationRuns = 150
+	// soakVariable is the environment variable with the number of cases of a
+	// longer run with a random seed.
+	soakVariable = "BURDOCKRELAY_SOAK_RUNS"
+)
+
+func propertyParameters(t *testing.T) *gopter.TestParameters {
+	seed, runs := int64(propertySeed), propertyRuns
+	if text := os.Getenv(soakVariable); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			t.Fatalf("%s: %v", soakVariable, err)
+		}
+		seed, runs = time.Now().UnixNano(), n
+	}
+	t.Logf("seed %d, %d runs", seed, runs)
+	parameters := gopter.DefaultTestParametersWithSeed(seed)
+	parameters.MinSuccessfulTests = runs
+	return parameters
+}
+
+// worldProperty holds when drawn commands break no invariant.
+func worldProperty(options worldOptions) gopter.Prop {
+	return prop.ForAllNoShrink(func(seed int64, selection int, commands []uint32) string {
+		w := newWorld(options, seed, common.Selection(selection))
+		return strings.Join(w.run(commands), "; ")
+	}, gen.Int64(), gen.IntRange(0, 2), gen.SliceOfN(40, gen.UInt32()))
+}
+
+func checkWorld(t *testing.T, options worldOptions) {
+	t.Helper()
+	properties := gopter.NewProperties(propertyParameters(t))
+	properties.Property("invariants hold", worldProperty(options))
+	properties.TestingRun(t)
+}
+
+// Guards against flows that break although they were reported before their
+// owner was killed, and against other broken promises after kills.
+func TestKills(t *testing.T) {
+	checkWorld(t, worldOptions{kills: true})
+}
+
+// Guards against an instance that acts on its old flow table after a pause
+// longer than its lease.
+func TestFreezes(t *testing.T) {
+	checkWorld(t, worldOptions{freezes: true})
+}
+
+// Guards against broken promises when peers cannot reach each other, also
+// together with kills and pauses.
+func TestPartitions(t *testing.T) {
+	checkWorld(t, worldOptions{partitions: true})
+}
+
+// Guards against broken promises when failures of different kinds meet.
+func TestCombinedFailures(t *testing.T) {
+	checkWorld(t, worldOptions{kills: true, freezes: true, partitions: true})
+}
+
+// Guards against refusals of established flows and forwarded refused flows
+// when the table is full.
+func TestFullTable(t *testing.T) {
+	checkWorld(t, worldOptions{limits: Limits{MaxFlows: 30, MaxExceptions: 1000}})
+}
+
+// Guards against flows that break, move or reach another service during
+// planned changes: drain, join, leave, replacement, release.
+func TestPlannedChanges(t *testing.T) {
+	checkWorld(t, worldOptions{})
+}
+
+// Shows that each mechanism is needed: without it, drawn cases break a promise.
+func TestMechanismsAreNeeded(t *testing.T) {
+	planned := worldOptions{}
+	kills := worldOptions{kills: true}
+	full := worldOptions{limits: Limits{MaxFlows: 30, MaxExceptions: 1000}}
+	for name, without := range map[string]struct {
+		options  worldOptions
+		ablation ablation
+	}{
+		"hand-over":                     {planned, ablation{noHandover: true}},
+		"exceptions":                    {kills, ablation{noExceptions: true}},
+		"memory of refusals":            {full, ablation{noRefusals: true}},
+		"held flows outlive their idle": {kills, ablation{expireHeld: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			without.options.limits.ablation = without.ablation
+			parameters := propertyParameters(t)
+			parameters.MinSuccessfulTests = ablationRuns
+			result := worldProperty(without.options).Check(parameters)
+			if result.Passed() {
+				t.Fatalf("%d cases pass without the mechanism", result.Succeeded)
+			}
+			t.Logf("fails after %d cases: %v", result.Succeeded, result.Labels)
+		})
+	}
+}
--- a/internal/decision/flow/receive.go
+++ b/internal/decision/flow/receive.go
@@ -140,10 +140,10 @@
 		for service, tables := range t.services {
 			key := slotService{s.number(local), service}
 			table := r.base(key)
-			if table == nil || s.slotBases[key].certain || now-state.changed >= tables.idleTimeout() {
+			if table == nil || s.slotBases[key].certain || now-state.gained >= tables.idleTimeout() {
 				continue
 			}
-			s.slotBases[key] = slotBase{table: table, since: state.changed, certain: true}
+			s.slotBases[key] = slotBase{table: table, since: state.gained, certain: true}
 			s.rebuild = true
 		}
 	}
@@ -202,7 +202,8 @@
 }
 
 // addHeld stores a reported flow. What this instance saw itself as the owner is
-// newer than any report, unless it had to guess.
+// newer than any report, unless it had to guess or saw the flow end: the report
+// is then on the next connection.
 func (s *Shard) addHeld(t *Tables, from common.InstanceID, group *common.ExceptionGroup, hash common.FlowHash, now time.Duration) {
 	owner := s.slot(hash).owner
 	e := s.table.findHash(hash)
@@ -218,17 +219,25 @@
 			e.seen = now
 		}
 	case owner == t.self:
-		if e.has(flagGuessed | flagNoTuple) {
+		if e.has(flagGuessed | flagNoTuple | closedFlags) {
 			s.move(t, e, group.Endpoint, group.Service)
-			e.flags &^= flagGuessed
+			e.flags &^= flagGuessed | closedFlags
+			e.seen = now
 		}
+	case owner == from && !e.has(flagNoTuple) && now-s.slot(hash).lost < handover:
+		// The new owner repeats what it was told before it took the slot over;
+		// this instance still handles packets of the flow.
+		e.flags |= flagClaimed
 	case owner == from:
-		s.handBack(t, e, from, group, now)
+		s.handBack(t, e, from, group.Service, group.Endpoint, now)
+	case e.has(flagNoTuple):
+		// The slot has moved on: pass the newer report to its present owner.
+		s.move(t, e, group.Endpoint, group.Service)
 	}
 }
 
 func (s *Shard) addInherited(t *Tables, group *common.ExceptionGroup, hash common.FlowHash, now time.Duration) {
-	if s.table.full() {
+	if s.table.crowded() {
 		s.stats.ExceptionsLost++
 		return
 	}
@@ -255,11 +264,11 @@
 
 // handBack makes a flow of this instance one that the owner of the slot
 // handles and reports.
-func (s *Shard) handBack(t *Tables, e *entry, from common.InstanceID, group *common.ExceptionGroup, now time.Duration) {
+func (s *Shard) handBack(t *Tables, e *entry, from common.InstanceID, service common.ServiceID, endpoint common.EndpointID, now time.Duration) {
 	t.count(e, -1)
 	s.table.held++
 	e.flags = flagUsed | flagHeld | flagNoTuple
 	e.sequence = uint32(from)
-	e.service, e.endpoint = group.Service, group.Endpoint
+	e.service, e.endpoint = service, endpoint
 	e.opened, e.seen = now, now
 }
--- a/internal/decision/flow/replicate.go
+++ b/internal/decision/flow/replicate.go
@@ -13,7 +13,7 @@
 	// leastAge keeps short flows out of the reports: most end before it.
 	leastAge = 2 * time.Second
 	// resendAfter is when a batch without acknowledgement is sent again.
-	resendAfter = time.Second
+	resendAfter = 500 * time.Millisecond
 	// defaultBatchBytes leaves room for the headers in a datagram of 1,200
 	// bytes.
 	defaultBatchBytes = 1100
@@ -165,6 +165,9 @@
 	if state.target == 0 || state.target == t.self || e.has(flagHeld|flagReported) || s.limits.ablation.noExceptions {
 		return false
 	}
+	if state.owner != t.self && (e.has(flagReset) || s.reportedByFormer(t, state, e)) {
+		return false
+	}
 	if e.has(flagStale | flagSending) {
 		return true
 	}
@@ -172,7 +175,7 @@
 	if service == nil {
 		return false
 	}
-	if state.owner != t.self && e.opened >= state.changed-leastAge {
+	if state.owner != t.self && e.opened >= state.lost-leastAge {
 		// The new owner may have taken the base before this flow was opened.
 		return true
 	}
@@ -185,6 +188,13 @@
 	return differs(g.acked(key), bucket, e.endpoint) || differs(g.underWay(key), bucket, e.endpoint)
 }
 
+// reportedByFormer reports whether the owner before this instance still has the
+// flow and reports it to the present owner itself. What this instance was told
+// about it may be older.
+func (s *Shard) reportedByFormer(t *Tables, state *slotState, e *entry) bool {
+	return e.has(flagNoTuple) && state.former != 0 && state.lost-state.gained < handover && t.relaysFor(state.former)
+}
+
 func differs(table *lookup.Table, bucket uint8, endpoint common.EndpointID) bool {
 	return table != nil && table.Default(bucket) != endpoint
 }
@@ -196,6 +206,7 @@
 	}
 	e.flags |= flagQueued
 	s.queue = append(s.queue, queued{s.table.position(e), e.hash})
+	s.slotTarget(s.slot(e.hash)).services[e.service] = true
 }
 
 // withdraw tells the target that a reported flow has ended.
@@ -389,11 +400,12 @@
 		return
 	}
 	e.flags &^= flagSending
-	if e.endpoint == flow.endpoint {
-		e.flags = e.flags&^flagStale | flagReported
+	if e.has(flagStale) || e.endpoint != flow.endpoint {
+		// The flow changed after the batch was made.
+		e.flags |= flagStale
 		return
 	}
-	e.flags |= flagStale
+	e.flags |= flagReported
 }
 
 // pending returns the number of updates that no target has acknowledged.
--- a/internal/decision/flow/shard.go
+++ b/internal/decision/flow/shard.go
@@ -12,16 +12,19 @@
 	// the same five-tuple may still arrive: the longest life of a TCP segment
 	// in practice.
 	lateDuplicateLife = 60 * time.Second
-	// handoverFirst and handoverKnown are how long the new owner of a slot
-	// sends unknown first packets and unknown other packets to the living
-	// former owner. Views differ for up to about a second after a change, and
-	// flows that the former owner opened meanwhile must be reported before
-	// handoverKnown ends.
-	handoverFirst = 2 * time.Second
-	handoverKnown = 6 * time.Second
-	// maxHops is the hop count with which a packet is never relayed again: one
-	// hop to the owner and one from it to the former owner.
-	maxHops = 2
+	// handover is how long the new owner of a slot sends packets of unknown
+	// flows to the living former owner. Views differ for up to about a second
+	// after a change, and reports of the flows that were opened meanwhile may
+	// be lost twice.
+	handover = 6 * time.Second
+	// maxOwnerHops and maxFormerHops are the highest hop counts with which an
+	// owner and a former owner ask the owner before them. They cover one hop to
+	// the owner and a slot that moved twice within the hand-over. maxHops is the
+	// highest hop count: with it a packet came back to the owner and is never
+	// relayed again.
+	maxOwnerHops  = 1
+	maxFormerHops = 2
+	maxHops       = 4
 )
 
 // Shard holds the flows of one part of the hash range. It is not safe for
@@ -68,11 +71,19 @@
 	if action, done := s.route(t, p, leaseValid); done {
 		return action
 	}
-	if e := s.table.find(p.Hash, &p.Tuple); e != nil {
-		return s.handleKnown(t, p, e, now)
+	e := s.table.find(p.Hash, &p.Tuple)
+	if e == nil || e.has(flagNoTuple|flagGuessed) {
+		// What another instance reported, or what this one knew when it lost
+		// the slot, may be older than what the other knows now.
+		if action, relayed := s.askOther(t, p, now); relayed {
+			if e != nil {
+				e.seen = now
+			}
+			return action
+		}
 	}
-	if action, relayed := s.askFormerOwner(t, p, now); relayed {
-		return action
+	if e != nil {
+		return s.handleKnown(t, p, e, now)
 	}
 	if p.First {
 		return s.open(t, p, now)
@@ -124,29 +135,40 @@
 	return Action{Kind: Drop, Code: resultcode.RouteNoOwner}, true
 }
 
-// askFormerOwner relays a packet of an unknown flow to the former owner of the
-// slot, which has the flow in its table if it opened it around the change.
-func (s *Shard) askFormerOwner(t *Tables, p *Packet, now time.Duration) (Action, bool) {
+// askOther relays a packet of a flow that this instance has not seen to one that
+// may have.
+// Views differ for a while after a change: the sender may have seen a change
+// that this instance has not, and the former owner of a slot has the flows that
+// it opened around the change.
+func (s *Shard) askOther(t *Tables, p *Packet, now time.Duration) (Action, bool) {
 	if p.HopCount >= maxHops || t.snapshot.Isolated || s.limits.ablation.noHandover {
 		return Action{}, false
 	}
 	state := s.slot(p.Hash)
-	if state.former == 0 || now-state.changed >= handoverKnown {
-		return Action{}, false
+	other := state.owner
+	limit := uint8(maxFormerHops)
+	if state.owner == t.self {
+		limit = maxOwnerHops
 	}
-	if p.First && p.Tuple.Protocol == common.ProtocolTCP && now-state.changed >= handoverFirst {
-		return Action{}, false
+	if p.HopCount <= limit && s.formerKnows(t, state, now) {
+		other = state.former
 	}
-	if !t.relaysFor(state.former) {
+	if other == t.self {
 		return Action{}, false
 	}
-	to, known := t.entryAddress(state.former)
+	to, known := t.entryAddress(other)
 	if !known {
 		return Action{}, false
 	}
 	return Action{Kind: Relay, Code: resultcode.PacketRelayed, To: to, HopCount: p.HopCount + 1}, true
 }
 
+// formerKnows reports whether the former owner of a slot may have flows that it
+// has not reported yet.
+func (s *Shard) formerKnows(t *Tables, state *slotState, now time.Duration) bool {
+	return state.former != 0 && now-state.gained < handover && t.relaysFor(state.former)
+}
+
 func (s *Shard) handleKnown(t *Tables, p *Packet, e *entry, now time.Duration) Action {
 	s.take(t, p, e)
 	if p.First && p.Tuple.Protocol == common.ProtocolTCP {
@@ -160,7 +182,7 @@
 		return Action{Kind: Drop, Code: resultcode.RouteEndpointGone}
 	}
 	e.seen = now
-	track(p, e)
+	s.track(t, p, e)
 	return forward(target)
 }
 
@@ -176,19 +198,34 @@
 }
 
 // track notes the end of a connection from the caller's side.
-func track(p *Packet, e *entry) {
+func (s *Shard) track(t *Tables, p *Packet, e *entry) {
 	switch {
 	case p.Reset:
 		e.flags |= flagReset
+		s.withdrawLost(t, e)
 	case p.Fin:
 		e.flags |= flagFin
-	default:
+	case e.has(flagReset):
 		// A connection that goes on was not reset: the reset was a late packet
 		// of an earlier one.
 		e.flags &^= flagReset
+		s.enqueue(t, e)
 	}
 }
 
+// withdrawLost takes back the report of a reset flow in a slot that another
+// instance owns now, so that it does not keep a new connection on the endpoint.
+func (s *Shard) withdrawLost(t *Tables, e *entry) {
+	state := s.slot(e.hash)
+	if state.owner == t.self || !e.has(reportedFlags) {
+		return
+	}
+	if g := s.slotTarget(state); g != nil {
+		g.withdrawals = append(g.withdrawals, withdrawal{e.service, e.endpoint, e.hash})
+	}
+	e.flags &^= reportedFlags
+}
+
 // handleRepeatedFirst handles a TCP first packet on a five-tuple with a flow.
 func (s *Shard) handleRepeatedFirst(t *Tables, p *Packet, e *entry, now time.Duration) Action {
 	if p.PayloadLength > 0 {
@@ -196,12 +233,7 @@
 	}
 	target := p.Service.endpoints[e.endpoint]
 	if e.has(flagSequence) && e.sequence == p.Sequence {
-		if target == nil {
-			return Action{Kind: Drop, Code: resultcode.RouteEndpointGone}
-		}
-		target.counters.repeats.Add(1)
-		e.seen = now
-		return forward(target)
+		return s.repeatFirst(t, p, e, target, now)
 	}
 	if s.movable(p, e, target, now) {
 		return s.reopen(t, p, e, now)
@@ -213,6 +245,25 @@
 	return forward(target)
 }
 
+// repeatFirst handles a first packet that the flow began with. If the caller
+// reset the connection in between, its endpoint had answered the first packet
+// for an older connection, and the caller opens this one again.
+func (s *Shard) repeatFirst(t *Tables, p *Packet, e *entry, target *endpoint, now time.Duration) Action {
+	if target == nil {
+		return Action{Kind: Drop, Code: resultcode.RouteEndpointGone}
+	}
+	if e.has(flagReset) && !target.eligible {
+		return s.reopen(t, p, e, now)
+	}
+	if e.has(flagReset) {
+		e.flags &^= flagReset
+		s.enqueue(t, e)
+	}
+	target.counters.repeats.Add(1)
+	e.seen = now
+	return forward(target)
+}
+
 // movable reports whether a first packet with another sequence number may get a
 // new endpoint. A late duplicate of an earlier connection must not move a live
 // flow, so a flow that was not closed stays on an endpoint that takes no new
@@ -279,10 +330,12 @@
 	if target == nil {
 		return s.refuse(p, code, now)
 	}
-	s.move(t, e, target.ID, p.Service.service.ID)
 	e.remember(p.Sequence)
 	e.flags &^= closedFlags | flagGuessed
 	e.opened, e.seen = now, now
+	s.restate(e)
+	s.move(t, e, target.ID, p.Service.service.ID)
+	s.enqueue(t, e)
 	s.stats.FlowsOpened++
 	return forward(target)
 }
@@ -297,10 +350,10 @@
 	if target.State == common.EndpointDown && !target.eligible {
 		return Action{Kind: Drop, Code: resultcode.RouteEndpointGone}
 	}
-	if !p.Reset && !s.table.full() {
+	if !p.Reset && !s.table.crowded() {
 		e := s.record(t, p, target, now)
 		e.flags |= flagGuessed
-		track(p, e)
+		s.track(t, p, e)
 		s.stats.FlowsAdopted++
 	}
 	return forward(target)
@@ -327,10 +380,16 @@
 	e.endpoint = id
 	e.service = service
 	t.count(e, 1)
+	s.restate(e)
+	s.enqueue(t, e)
+}
+
+// restate makes the flow one that must be reported again: another instance may
+// hold it with another endpoint or as closed.
+func (s *Shard) restate(e *entry) {
 	if e.has(flagReported | flagSending) {
 		e.flags = e.flags&^flagReported | flagStale
 	}
-	s.enqueue(t, e)
 }
 
 // inherit makes a held flow one of this instance.
--- a/internal/decision/flow/slots.go
+++ b/internal/decision/flow/slots.go
@@ -19,8 +19,9 @@
 	targetIncarnation uint64
 	// former is the owner before this instance, 0 is none.
 	former common.InstanceID
-	// changed is when this instance gained or lost the slot.
-	changed time.Duration
+	// gained and lost are when this instance last gained and lost the slot.
+	gained time.Duration
+	lost   time.Duration
 }
 
 // slotService identifies the base of one service in one slot.
@@ -78,7 +79,7 @@
 	if !gained.empty() {
 		s.gain(t, previous, &gained, now)
 	}
-	s.rebuild = s.rebuild || !gained.empty() || !lost.empty()
+	s.rebuild = s.rebuild || !gained.empty() || !lost.empty() || t.membersDiffer(previous)
 	s.forgetSources(t)
 }
 
@@ -94,10 +95,10 @@
 		case owner == t.self:
 			gained.add(local)
 			state.former = state.owner
-			state.changed = now
+			state.gained = now
 		case state.owner == t.self:
 			lost.add(local)
-			state.changed = now
+			state.lost = now
 		}
 		state.owner = owner
 		if s.updateTarget(t, local) {
@@ -171,12 +172,12 @@
 	}
 	for local := range s.slots {
 		state := &s.slots[local]
-		if state.owner != t.self || now-state.changed >= idle {
+		if state.owner != t.self || now-state.gained >= idle {
 			continue
 		}
 		key := slotService{s.number(local), id}
 		if _, found := s.slotBases[key]; !found {
-			s.slotBases[key] = slotBase{table: table, since: state.changed}
+			s.slotBases[key] = slotBase{table: table, since: state.gained}
 		}
 	}
 }
@@ -199,22 +200,23 @@
 		if !e.has(flagUsed) || !gained.has(localSlot(e.hash)) {
 			continue
 		}
-		s.gainEntry(t, e, rejoined)
+		s.gainEntry(t, e, rejoined, now)
 	}
 }
 
-// gainEntry takes over one flow. After a rejoin, other instances have handled
-// the flows of this table for a while: only flows that they do not know are
-// kept.
-func (s *Shard) gainEntry(t *Tables, e *entry, rejoined bool) {
+// gainEntry takes over one flow. Flows that this instance knew when it lost the
+// slot give way to what others report. After a rejoin, others have handled the
+// flows for longer: only flows that they do not know are kept.
+func (s *Shard) gainEntry(t *Tables, e *entry, rejoined bool, now time.Duration) {
+	e.seen = now
 	switch {
 	case e.has(flagHeld):
 		s.inherit(t, e)
-	case !rejoined || s.limits.ablation.tableWins:
-	case e.has(flagQueued) && !e.has(flagReported):
-		e.flags |= flagGuessed
-	default:
+	case s.limits.ablation.tableWins:
+	case rejoined && (e.has(flagReported) || !e.has(flagQueued)):
 		s.forget(t, e)
+	default:
+		e.flags |= flagGuessed
 	}
 }
 
--- a/internal/decision/flow/tables.go
+++ b/internal/decision/flow/tables.go
@@ -259,3 +259,17 @@
 	}
 	return services
 }
+
+// membersDiffer reports whether a member joined, left or changed its state.
+func (t *Tables) membersDiffer(previous *Tables) bool {
+	if previous == nil || len(t.members) != len(previous.members) {
+		return true
+	}
+	for id, member := range t.members {
+		before := previous.members[id]
+		if before == nil || before.State != member.State || before.Incarnation != member.Incarnation {
+			return true
+		}
+	}
+	return false
+}
