Test single sequences, keep lapsed leases lapsed, send slot bases first

Cause: a test of one sequence showed that the successor got a new service base before the bases of the slots that keep the old one, because a batch has no room for all of them; a kill then moved 34 of 200 flows. A rejoined instance ignored what the owner told it, and 50 of 200 flows went to old endpoints. A lapsed lease became valid with the next renewal, although a controld that was paused with entryd renews before it learns that peers took over. Conclusion: a service base waits for the slot bases; a joining instance takes over what the owner reports; a lapsed lease needs a higher incarnation.

--- a/internal/decision/flow/batch.go
+++ b/internal/decision/flow/batch.go
@@ -132,6 +132,23 @@
 	}
 }
 
+// waitForSlotBases keeps the bases of services while the target lacks the base
+// of a slot that keeps an older one.
+func (b *builder) waitForSlotBases() {
+	if b.shard.limits.ablation.eagerBases {
+		return
+	}
+	for key, base := range b.shard.slotBases {
+		service := b.tables.service(key.service)
+		if service == nil || b.shard.slots[key.slot%shardSlots].target != b.id || base.table.Same(service.table) {
+			continue
+		}
+		if acked := b.target.slotBases[key]; acked == nil || !acked.Same(base.table) {
+			b.waiting[slotService{anySlot, key.service}] = true
+		}
+	}
+}
+
 func (b *builder) addBases() {
 	for _, service := range b.tables.sortedServices() {
 		id := service.service.ID
--- a/internal/decision/flow/receive.go
+++ b/internal/decision/flow/receive.go
@@ -224,7 +224,7 @@
 			e.flags &^= flagGuessed | closedFlags
 			e.seen = now
 		}
-	case owner == from && !e.has(flagNoTuple) && now-s.slot(hash).lost < handover:
+	case owner == from && s.handlesStill(t, e, now):
 		// The new owner repeats what it was told before it took the slot over;
 		// this instance still handles packets of the flow.
 		e.flags |= flagClaimed
@@ -236,6 +236,15 @@
 	}
 }
 
+// handlesStill reports whether this instance may have seen newer packets of a
+// flow than the new owner of its slot.
+func (s *Shard) handlesStill(t *Tables, e *entry, now time.Duration) bool {
+	if e.has(flagNoTuple) || (t.joining() && !s.limits.ablation.tableWins) {
+		return false
+	}
+	return now-s.slot(e.hash).lost < handover
+}
+
 func (s *Shard) addInherited(t *Tables, group *common.ExceptionGroup, hash common.FlowHash, now time.Duration) {
 	if s.table.crowded() {
 		s.stats.ExceptionsLost++
--- a/internal/decision/flow/replicate.go
+++ b/internal/decision/flow/replicate.go
@@ -349,8 +349,9 @@
 	b.addResets()
 	b.addWithdrawals()
 	b.addFlows(now)
-	b.addBases()
 	b.addSlotBases()
+	b.waitForSlotBases()
+	b.addBases()
 	if b.empty() {
 		return nil
 	}
--- /dev/null
+++ b/internal/decision/flow/scenario_test.go
@@ -0,0 +1,350 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+)
+
+// pair is an owner with its successor on one shard.
+type pair struct {
+	t        *testing.T
+	now      time.Duration
+	snapshot *common.Snapshot
+	owner    *Shard
+	next     *Shard
+	ownerT   *Tables
+	nextT    *Tables
+}
+
+func newPair(t *testing.T, limits Limits) *pair {
+	limits.MaxFlows = 1000
+	p := &pair{t: t, snapshot: testSnapshot(4, 2)}
+	p.owner, p.next = NewShard(0, limits), NewShard(0, limits)
+	p.install(func(*common.Snapshot) {})
+	return p
+}
+
+// install applies a change to both instances at once.
+func (p *pair) install(change func(s *common.Snapshot)) {
+	p.installOwner(change)
+	p.installNext(change)
+}
+
+func (p *pair) installOwner(change func(s *common.Snapshot)) {
+	p.ownerT = p.tables(1, p.ownerT, change)
+	p.owner.Install(p.ownerT, p.now)
+}
+
+func (p *pair) installNext(change func(s *common.Snapshot)) {
+	p.nextT = p.tables(2, p.nextT, change)
+	p.next.Install(p.nextT, p.now)
+}
+
+func (p *pair) tables(self common.InstanceID, previous *Tables, change func(s *common.Snapshot)) *Tables {
+	s := testSnapshot(4, 2)
+	s.Self = self
+	if previous != nil {
+		before := previous.snapshot
+		s.Sequence = before.Sequence + 1
+		s.Members = append([]common.Member(nil), before.Members...)
+		s.Services[0].Endpoints = append([]common.Endpoint(nil), before.Services[0].Endpoints...)
+	}
+	change(s)
+	return mustTables(p.t, s, previous)
+}
+
+// replicate carries batches to the successor; acknowledged tells whether the
+// acknowledgements come back.
+func (p *pair) replicate(acknowledged bool) {
+	for _, batch := range p.owner.TakeReplication(p.ownerT, p.now, &Budget{Bytes: 1 << 20}) {
+		p.next.AddReplication(p.nextT, &batch, p.now)
+		if acknowledged {
+			p.owner.AckReplication(2, batch.Sequence)
+		}
+	}
+}
+
+// flows returns first packets in slots that the first instance owns.
+func (p *pair) flows(n int) []*Packet {
+	var packets []*Packet
+	for source := uint32(0); len(packets) < n; source++ {
+		packet := tcpPacket(p.ownerT, source, true, 100)
+		owner, _ := p.ownerT.Owners().Owner(packet.Hash.Slot())
+		if ShardOf(packet.Hash) == 0 && owner == 1 {
+			packets = append(packets, packet)
+		}
+	}
+	return packets
+}
+
+func (p *pair) open(n int) ([]*Packet, []common.EndpointID) {
+	packets := p.flows(n)
+	endpoints := make([]common.EndpointID, n)
+	for i, packet := range packets {
+		endpoints[i] = p.owner.Handle(p.ownerT, packet, p.now, true).Endpoint
+	}
+	return packets, endpoints
+}
+
+func killOwner(s *common.Snapshot) { s.Members[0].State = common.MemberDead }
+
+func drainFirst(s *common.Snapshot) { s.Services[0].Endpoints[0].State = common.EndpointDraining }
+
+func undrainFirst(s *common.Snapshot) { s.Services[0].Endpoints[0].State = common.EndpointUp }
+
+// moved counts the flows that the successor sends to other endpoints.
+func (p *pair) moved(packets []*Packet, endpoints []common.EndpointID) int {
+	moved := 0
+	for i, first := range packets {
+		packet := *first
+		packet.First, packet.Service = false, p.nextT.Match(serviceAddress)
+		action := p.next.Handle(p.nextT, &packet, p.now, true)
+		if action.Kind != Forward || action.Endpoint != endpoints[i] {
+			moved++
+		}
+	}
+	return moved
+}
+
+// Guards against a successor that gets the new base before the flows that
+// differ from it. Without the wait, a kill between the two breaks them.
+func TestBaseWaitsForExceptions(t *testing.T) {
+	for _, eager := range []bool{false, true} {
+		p := newPair(t, Limits{ablation: ablation{eagerBases: eager}})
+		p.replicate(true)
+		packets, endpoints := p.open(200)
+		p.now += 500 * time.Millisecond
+		// The flows are younger than the least age for a report.
+		p.install(drainFirst)
+		p.replicate(true)
+		p.installNext(killOwner)
+		moved := p.moved(packets, endpoints)
+		if eager != (moved > 0) {
+			t.Errorf("base sent at once %v: %d flows moved", eager, moved)
+		}
+	}
+}
+
+// Guards against a takeover that forgets the base of silent flows when the set
+// of endpoints changes afterwards.
+func TestSlotBaseKeepsSilentFlows(t *testing.T) {
+	for _, without := range []bool{false, true} {
+		p := newPair(t, Limits{ablation: ablation{noSlotBases: without}})
+		p.install(drainFirst)
+		p.replicate(true)
+		packets, endpoints := p.open(200)
+		p.now += 10 * time.Second
+		p.installNext(killOwner)
+		p.now += 10 * time.Second
+		p.installNext(undrainFirst)
+		moved := p.moved(packets, endpoints)
+		if without != (moved > 0) {
+			t.Errorf("without slot bases %v: %d flows moved", without, moved)
+		}
+	}
+}
+
+// Guards against a base that flaps while its batch is under way: the successor
+// may hold any of the three.
+func TestFlappingBase(t *testing.T) {
+	p := newPair(t, Limits{})
+	p.replicate(true)
+	p.now += 10 * time.Second
+	p.install(drainFirst)
+	packets, endpoints := p.open(200)
+	p.replicate(false) // arrives, the acknowledgement is lost
+	p.now += 5 * time.Second
+	p.install(undrainFirst)
+	p.replicate(true)
+	p.now += 5 * time.Second
+	p.replicate(true)
+	p.replicate(true)
+	p.installNext(killOwner)
+	if moved := p.moved(packets, endpoints); moved > 0 {
+		t.Errorf("%d flows moved", moved)
+	}
+}
+
+// Guards against a late duplicate of an earlier connection's first packet that
+// moves a live flow off a draining endpoint.
+func TestLateDuplicateMovesNothing(t *testing.T) {
+	for _, without := range []bool{false, true} {
+		p := newPair(t, Limits{ablation: ablation{reuseMoves: without}})
+		packets, endpoints := p.open(100)
+		p.install(drainFirst)
+		moved := 0
+		for i, packet := range packets {
+			late := *packet
+			late.Sequence = 7
+			late.Service = p.ownerT.Match(serviceAddress)
+			if p.owner.Handle(p.ownerT, &late, p.now, true).Endpoint != endpoints[i] {
+				moved++
+			}
+		}
+		if without != (moved > 0) {
+			t.Errorf("without the rule %v: %d flows moved", without, moved)
+		}
+	}
+}
+
+// Guards against new work for a draining endpoint on a five-tuple that the
+// caller used long before.
+func TestReuseLeavesDrainingEndpoint(t *testing.T) {
+	p := newPair(t, Limits{})
+	packets, endpoints := p.open(100)
+	p.install(drainFirst)
+	p.now += lateDuplicateLife
+	for i, packet := range packets {
+		next := *packet
+		next.Sequence = 7
+		next.Service = p.ownerT.Match(serviceAddress)
+		action := p.owner.Handle(p.ownerT, &next, p.now, true)
+		if action.Endpoint == 1 || (endpoints[i] != 1 && action.Endpoint != endpoints[i]) {
+			t.Fatalf("flow of endpoint %d: %+v", endpoints[i], action)
+		}
+	}
+}
+
+// Guards against an instance that trusts its table after it was fenced: a flow
+// that another instance gave a new endpoint meanwhile must follow that one.
+func TestRejoinGivesWay(t *testing.T) {
+	for _, without := range []bool{false, true} {
+		p := newPair(t, Limits{ablation: ablation{tableWins: without}})
+		p.replicate(true)
+		packets, _ := p.open(200)
+		p.now += 3 * time.Second
+		p.installNext(killOwner)
+		p.now += 10 * time.Second
+		p.installNext(drainFirst)
+		endpoints := make([]common.EndpointID, len(packets))
+		for i, first := range packets {
+			again := *first
+			again.Sequence, again.Service = 9, p.nextT.Match(serviceAddress)
+			endpoints[i] = p.next.Handle(p.nextT, &again, p.now, true).Endpoint
+		}
+		p.rejoin()
+		moved := 0
+		for i, first := range packets {
+			packet := *first
+			packet.First, packet.Service = false, p.ownerT.Match(serviceAddress)
+			if p.owner.Handle(p.ownerT, &packet, p.now, true).Endpoint != endpoints[i] {
+				moved++
+			}
+		}
+		if without != (moved > 0) {
+			t.Errorf("own table wins %v: %d flows moved", without, moved)
+		}
+	}
+}
+
+// rejoin lets the first instance join again, pull and serve, and the hand-over
+// end.
+func (p *pair) rejoin() {
+	joining := func(s *common.Snapshot) {
+		s.Members[0].State, s.Members[0].Incarnation = common.MemberJoining, 2
+	}
+	serving := func(s *common.Snapshot) { s.Members[0].State = common.MemberServing }
+	p.installOwner(func(s *common.Snapshot) { joining(s); drainFirst(s) })
+	p.installNext(joining)
+	future := p.tables(2, p.nextT, serving)
+	batch := p.next.PullReplication(p.nextT, future, 1)
+	p.owner.AddReplication(p.ownerT, &batch, p.now)
+	p.install(serving)
+	p.now += handover
+}
+
+// Guards against reports that exceed the budget or never end.
+func TestReplicationBudget(t *testing.T) {
+	p := newPair(t, Limits{})
+	p.replicate(true)
+	packets, endpoints := p.open(900)
+	p.now += 5 * time.Second
+	p.install(drainFirst)
+	rounds := 0
+	for p.owner.Stats().Pending > 0 || rounds < 3 {
+		budget := &Budget{Bytes: 300}
+		for _, batch := range p.owner.TakeReplication(p.ownerT, p.now, budget) {
+			p.next.AddReplication(p.nextT, &batch, p.now)
+			p.owner.AckReplication(2, batch.Sequence)
+		}
+		if budget.Bytes < 0 {
+			t.Fatalf("%d bytes over the budget", -budget.Bytes)
+		}
+		p.now += time.Second / 10
+		if rounds++; rounds > 1000 {
+			t.Fatal("the reports do not end")
+		}
+	}
+	p.installNext(killOwner)
+	if moved := p.moved(packets, endpoints); moved > 0 {
+		t.Errorf("%d flows moved", moved)
+	}
+}
+
+// Guards against data in a first packet that runs although another copy of the
+// packet was refused.
+func TestFirstDataIsNeverForwarded(t *testing.T) {
+	for _, idempotent := range []bool{false, true} {
+		s := testSnapshot(4, 1)
+		s.Services[0].Idempotent = idempotent
+		tables := mustTables(t, s, nil)
+		handle := testShard(tables, Limits{MaxFlows: 10})
+		packet := tcpPacket(tables, 1, true, 9)
+		packet.PayloadLength = 10
+		action := handle(packet, 0, true)
+		if action.Kind != Drop || action.Code != resultcode.DroppedFirstData {
+			t.Errorf("idempotent %v: %+v", idempotent, action)
+		}
+	}
+}
+
+// Guards against a service that gets more new flows than its limits permit.
+func TestAdmissionLimits(t *testing.T) {
+	s := testSnapshot(2, 1)
+	s.Services[0].Policy.NewFlowsPerSecond = 10
+	tables := mustTables(t, s, nil)
+	handle := testShard(tables, Limits{MaxFlows: 1000})
+	admitted := 0
+	for source := range uint32(100) {
+		if handle(tcpPacket(tables, source, true, 9), time.Second, true).Kind == Forward {
+			admitted++
+		}
+	}
+	if admitted != 10 {
+		t.Errorf("%d flows admitted in one instant, limit 10 per second", admitted)
+	}
+	s = testSnapshot(2, 1)
+	s.Services[0].Policy.MaxFlowsPerEndpoint = 20
+	tables = mustTables(t, s, nil)
+	handle = testShard(tables, Limits{MaxFlows: 1000})
+	for source := range uint32(100) {
+		action := handle(tcpPacket(tables, source, true, 9), time.Second, true)
+		if action.Kind == Refuse && action.Code != resultcode.RefusedEndpointLimit {
+			t.Fatalf("%+v", action)
+		}
+	}
+	for id := common.EndpointID(1); id <= 2; id++ {
+		if open, _ := tables.Match(serviceAddress).OpenFlows(id); open != 20 {
+			t.Errorf("endpoint %d has %d flows, limit 20", id, open)
+		}
+	}
+}
+
+// Guards against snapshots that take the packet path back.
+func TestOldSnapshotsAreRefused(t *testing.T) {
+	s := testSnapshot(2, 1)
+	s.Release, s.Sequence = 5, 5
+	tables := mustTables(t, s, nil)
+	older := testSnapshot(2, 1)
+	older.Release, older.Sequence = 4, 6
+	if _, err := NewTables(older, tables); err == nil {
+		t.Error("an older release was accepted")
+	}
+	older.Release, older.Sequence = 5, 5
+	if _, err := NewTables(older, tables); err == nil {
+		t.Error("a repeated snapshot was accepted")
+	}
+}
--- a/internal/decision/flow/slots.go
+++ b/internal/decision/flow/slots.go
@@ -172,7 +172,7 @@
 	}
 	for local := range s.slots {
 		state := &s.slots[local]
-		if state.owner != t.self || now-state.gained >= idle {
+		if state.owner != t.self || state.former == 0 || now-state.gained >= idle {
 			continue
 		}
 		key := slotService{s.number(local), id}
@@ -194,7 +194,7 @@
 			s.gainBases(t, previous, local, now)
 		}
 	}
-	rejoined := previous != nil && previous.selfMember != nil && previous.selfMember.State == common.MemberJoining
+	rejoined := previous.joining()
 	for i := range s.table.entries {
 		e := &s.table.entries[i]
 		if !e.has(flagUsed) || !gained.has(localSlot(e.hash)) {
--- a/internal/decision/flow/tables.go
+++ b/internal/decision/flow/tables.go
@@ -226,6 +226,12 @@
 	return member.Owns() || member.State == common.MemberLeaving
 }
 
+// joining reports whether this instance joins. If it owned slots before, it was
+// fenced, and others have handled its flows since.
+func (t *Tables) joining() bool {
+	return t != nil && t.selfMember != nil && t.selfMember.State == common.MemberJoining
+}
+
 // sharers returns the number of instances among which the flows are divided.
 func (t *Tables) sharers() int {
 	return max(len(t.owners.Members()), 1)
--- a/internal/decision/lease/lease.go
+++ b/internal/decision/lease/lease.go
@@ -23,14 +23,19 @@
 }
 
 // Renew extends the lease from now and reports whether the instance was fenced
-// before, in which case it must rejoin. A renewal for a lower incarnation, from
-// a controld that was replaced, is refused.
+// before, in which case it must rejoin with a higher incarnation. A lapsed lease
+// stays lapsed until then, because peers may have taken over: a controld that
+// was paused as well would otherwise renew before it learns that. A renewal for
+// a lower incarnation, from a controld that was replaced, is refused.
 func (l *Lease) Renew(now, duration time.Duration, incarnation uint64) (wasFenced bool, err error) {
 	if l.granted && incarnation < l.incarnation {
 		return !l.Valid(now), resultcode.Errorf(resultcode.LeaseOldIncarnation,
 			"lease of incarnation %d refused, %d is in force", incarnation, l.incarnation)
 	}
 	wasFenced = !l.Valid(now)
+	if wasFenced && l.granted && incarnation == l.incarnation {
+		return true, nil
+	}
 	l.granted = true
 	l.renewed = now
 	l.duration = min(duration, DefaultDuration)
