Rank candidates in one pass; test isolation, UDP and old batches

Cause: a profile of new flows showed the ranking of candidates as the largest cost: each candidate hashed all endpoints again. Ruled out: fewer candidates, because left-out endpoints need replacements.

--- a/internal/decision/flow/replicate.go
+++ b/internal/decision/flow/replicate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -78,6 +79,8 @@
 type queued struct {
 	position uint32
 	hash     common.FlowHash
+	// order is the age of the flow; flows of lost slots come before others.
+	order time.Duration
 }
 
 // ShardOfSequence returns the shard that a batch came from and goes to. Batches
@@ -205,7 +208,7 @@
 		return
 	}
 	e.flags |= flagQueued
-	s.queue = append(s.queue, queued{s.table.position(e), e.hash})
+	s.queue = append(s.queue, queued{s.table.position(e), e.hash, e.opened})
 	s.slotTarget(s.slot(e.hash)).services[e.service] = true
 }
 
@@ -237,12 +240,12 @@
 		e.flags &^= flagQueued
 		if s.needsReport(t, e) {
 			e.flags |= flagQueued
-			s.queue = append(s.queue, queued{uint32(i), e.hash})
+			s.queue = append(s.queue, queued{uint32(i), e.hash, s.orderOf(t, e)})
 			s.slotTarget(s.slot(e.hash)).services[e.service] = true
 		}
 	}
 	slices.SortFunc(s.queue, func(a, b queued) int {
-		return s.compareQueued(t, a, b)
+		return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.hash, b.hash))
 	})
 	s.forgetTargets(t)
 }
@@ -264,17 +267,12 @@
 	}
 }
 
-func (s *Shard) compareQueued(t *Tables, a, b queued) int {
-	lostA := s.slot(a.hash).owner != t.self
-	lostB := s.slot(b.hash).owner != t.self
-	if lostA != lostB {
-		if lostA {
-			return -1
-		}
-		return 1
+// orderOf returns the key that the queue is sorted by.
+func (s *Shard) orderOf(t *Tables, e *entry) time.Duration {
+	if s.slot(e.hash).owner != t.self {
+		return e.opened - math.MaxInt64/2
 	}
-	x, y := &s.table.entries[a.position], &s.table.entries[b.position]
-	return cmp.Or(cmp.Compare(x.opened, y.opened), cmp.Compare(a.hash, b.hash))
+	return e.opened
 }
 
 // forgetTargets drops targets that need nothing any more.
--- a/internal/decision/flow/scenario_test.go
+++ b/internal/decision/flow/scenario_test.go
@@ -348,3 +348,80 @@
 		t.Error("a repeated snapshot was accepted")
 	}
 }
+
+// Guards against an isolated instance that ignores the flows it knows: they may
+// not be on their defaults.
+func TestIsolatedKeepsKnownFlows(t *testing.T) {
+	p := newPair(t, Limits{})
+	packets, endpoints := p.open(100)
+	p.now += 10 * time.Second
+	p.installOwner(func(s *common.Snapshot) {
+		drainFirst(s)
+		s.Isolated, s.Settled = true, false
+	})
+	for i, first := range packets {
+		packet := *first
+		packet.First, packet.Service = false, p.ownerT.Match(serviceAddress)
+		action := p.owner.Handle(p.ownerT, &packet, p.now, false)
+		if action.Kind != Forward || action.Endpoint != endpoints[i] {
+			t.Fatalf("flow of endpoint %d: %+v", endpoints[i], action)
+		}
+	}
+}
+
+// Guards against UDP flows that move when the set of endpoints changes, and
+// against a UDP caller that is answered with a reset.
+func TestUDPFlows(t *testing.T) {
+	s := testSnapshot(4, 1)
+	s.Services[0].Idempotent = true
+	tables := mustTables(t, s, nil)
+	shard := NewShard(0, Limits{MaxFlows: 100})
+	shard.Install(tables, 0)
+	packets := benchPackets(tables, 101)
+	endpoints := make([]common.EndpointID, len(packets))
+	for i, packet := range packets {
+		packet.Tuple.Protocol = common.ProtocolUDP
+		packet.PayloadLength = 100
+		action := shard.Handle(tables, packet, 0, true)
+		endpoints[i] = action.Endpoint
+		if i == 100 && (action.Kind != Drop || action.Code != resultcode.RefusedTableFull) {
+			t.Errorf("full table: %+v", action)
+		}
+	}
+	s = testSnapshot(4, 1)
+	s.Sequence = 2
+	drainFirst(s)
+	tables = mustTables(t, s, tables)
+	shard.Install(tables, time.Second)
+	for i, packet := range packets[:100] {
+		packet.Service = tables.Match(serviceAddress)
+		if action := shard.Handle(tables, packet, time.Second, true); action.Endpoint != endpoints[i] {
+			t.Errorf("flow moved from %d to %+v", endpoints[i], action)
+		}
+	}
+}
+
+// Guards against replication that is lost when an old batch arrives after a
+// newer one: the flow has moved on.
+func TestOldBatchIsIgnored(t *testing.T) {
+	p := newPair(t, Limits{})
+	hash := p.flows(1)[0].Hash
+	report := func(sequence uint64, endpoint common.EndpointID, withdrawn bool) {
+		p.next.AddReplication(p.nextT, &common.ReplicationBatch{
+			Target: 2, Source: 1, SourceIncarnation: 1, Sequence: sequence * Shards,
+			Exceptions: []common.ExceptionGroup{{
+				Service: 7, Endpoint: endpoint, Hashes: []common.FlowHash{hash}, Withdrawn: withdrawn,
+			}},
+		}, p.now)
+	}
+	report(2, 3, false)
+	report(1, 2, false)
+	if e := p.next.table.findHash(hash); e == nil || e.endpoint != 3 {
+		t.Fatalf("after an old batch: %+v", e)
+	}
+	report(3, 3, true)
+	report(2, 3, false)
+	if e := p.next.table.findHash(hash); e != nil {
+		t.Fatalf("an old batch brought a withdrawn flow back: %+v", e)
+	}
+}
--- a/internal/decision/lookup/lookup.go
+++ b/internal/decision/lookup/lookup.go
@@ -83,18 +83,33 @@
 	return found
 }
 
-// Candidates appends the first n endpoints in rendezvous order for the flow's
-// bucket to out and returns it. The first one is the default.
+// maxCandidates bounds the endpoints that Candidates ranks.
+const maxCandidates = 16
+
+// Candidates appends the first n endpoints, at most 16, in rendezvous order for
+// the flow's bucket to out and returns it. The first one is the default.
 func (t *Table) Candidates(hash common.FlowHash, n int, out []common.EndpointID) []common.EndpointID {
+	var scores [maxCandidates]uint64
+	n = min(n, maxCandidates)
 	start := len(out)
-	bucket := hash.Bucket()
-	for len(out)-start < n {
-		chosen := out[start:]
-		next, found := t.bestExcept(bucket, chosen)
-		if !found {
-			return out
+	seed := t.seed(hash.Bucket())
+	for i, endpoint := range t.eligible {
+		score := t.score(seed, i)
+		at := len(out) - start
+		if at == n {
+			if n == 0 || score <= scores[n-1] {
+				continue
+			}
+			at--
+		} else {
+			out = append(out, 0)
+		}
+		for ; at > 0 && scores[at-1] < score; at-- {
+			scores[at] = scores[at-1]
+			out[start+at] = out[start+at-1]
 		}
-		out = append(out, next)
+		scores[at] = score
+		out[start+at] = endpoint
 	}
 	return out
 }
@@ -134,36 +149,32 @@
 }
 
 func (t *Table) best(bucket uint8) common.EndpointID {
-	endpoint, _ := t.bestExcept(bucket, nil)
-	return endpoint
-}
-
-// bestExcept returns the endpoint with the highest score that is not excluded.
-// With equal weights the order of the hashes is the order of the scores, which
-// saves the logarithm.
-func (t *Table) bestExcept(bucket uint8, excluded []common.EndpointID) (common.EndpointID, bool) {
-	seed := mix(uint64(t.service)<<8 | uint64(bucket))
+	seed := t.seed(bucket)
 	best := common.EndpointID(0)
-	bestHash := uint64(0)
-	bestScore := math.Inf(-1)
-	found := false
+	highest := uint64(0)
 	for i, endpoint := range t.eligible {
-		if slices.Contains(excluded, endpoint) {
-			continue
-		}
-		hash := mix(seed ^ uint64(endpoint)*0x9e3779b97f4a7c15)
-		if t.uniform {
-			if !found || hash > bestHash {
-				best, bestHash, found = endpoint, hash, true
-			}
-			continue
-		}
-		score := weightedScore(hash, t.weights[i])
-		if !found || score > bestScore {
-			best, bestScore, found = endpoint, score, true
+		score := t.score(seed, i)
+		if best == 0 || score > highest {
+			best, highest = endpoint, score
 		}
 	}
-	return best, found
+	return best
+}
+
+func (t *Table) seed(bucket uint8) uint64 {
+	return mix(uint64(t.service)<<8 | uint64(bucket))
+}
+
+// score returns the rendezvous score of the i-th endpoint as an integer with the
+// same order. With equal weights the order of the hashes is the order of the
+// scores, which saves the logarithm.
+func (t *Table) score(seed uint64, i int) uint64 {
+	hash := mix(seed ^ uint64(t.eligible[i])*0x9e3779b97f4a7c15)
+	if t.uniform {
+		return hash
+	}
+	// The bit patterns of negative numbers have the reverse order.
+	return ^math.Float64bits(weightedScore(hash, t.weights[i]))
 }
 
 // weightedScore returns ln(u)/weight with u uniform in (0, 1], so an endpoint
