--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,11 @@
 test:
 	scripts/test.sh
 
+# Property tests with a random seed, which a failure prints.
+SOAK_RUNS ?= 5000
+soak:
+	BURDOCKRELAY_SOAK_RUNS=$(SOAK_RUNS) go test -count=1 -timeout 2h -v -run 'Planned|Kills|Freezes|Partitions|Combined|FullTable' ./internal/decision/flow
+
 tools: $(GOLANGCI)
 
 $(TOOLS)/golangci-lint:
--- a/internal/decision/flow/batch.go
+++ b/internal/decision/flow/batch.go
@@ -103,7 +103,7 @@
 			continue
 		}
 		b.wait(e)
-		lost := state.owner != b.tables.self && !b.shard.limits.ablation.noForeignRule
+		lost := state.owner != b.tables.self
 		if !b.complete || e.has(flagSending) || (!lost && now-e.opened < leastAge) {
 			continue
 		}
@@ -112,7 +112,7 @@
 		}
 		b.groups.add(e.service, e.endpoint, e.hash)
 		b.sent.flows = append(b.sent.flows, sentFlow{item.position, item.hash, e.endpoint})
-		e.flags |= flagSending
+		e.flags = e.flags&^flagStale | flagSending
 	}
 }
 
@@ -132,6 +132,23 @@
 	}
 }
 
+// waitForSlotBases keeps the bases of services while the target lacks the base
+// of a slot that keeps an older one.
+func (b *builder) waitForSlotBases() {
+	if b.shard.limits.ablation.eagerBases {
+		return
+	}
+	for key, base := range b.shard.slotBases {
+		service := b.tables.service(key.service)
+		if service == nil || b.shard.slots[key.slot%shardSlots].target != b.id || base.table.Same(service.table) {
+			continue
+		}
+		if acked := b.target.slotBases[key]; acked == nil || !acked.Same(base.table) {
+			b.waiting[slotService{anySlot, key.service}] = true
+		}
+	}
+}
+
 func (b *builder) addBases() {
 	for _, service := range b.tables.sortedServices() {
 		id := service.service.ID
--- a/internal/decision/flow/replicate.go
+++ b/internal/decision/flow/replicate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -13,7 +14,7 @@
 	// leastAge keeps short flows out of the reports: most end before it.
 	leastAge = 2 * time.Second
 	// resendAfter is when a batch without acknowledgement is sent again.
-	resendAfter = time.Second
+	resendAfter = 500 * time.Millisecond
 	// defaultBatchBytes leaves room for the headers in a datagram of 1,200
 	// bytes.
 	defaultBatchBytes = 1100
@@ -78,6 +79,8 @@
 type queued struct {
 	position uint32
 	hash     common.FlowHash
+	// order is the age of the flow; flows of lost slots come before others.
+	order time.Duration
 }
 
 // ShardOfSequence returns the shard that a batch came from and goes to. Batches
@@ -165,6 +168,9 @@
 	if state.target == 0 || state.target == t.self || e.has(flagHeld|flagReported) || s.limits.ablation.noExceptions {
 		return false
 	}
+	if state.owner != t.self && (e.has(flagReset) || s.reportedByFormer(t, state, e)) {
+		return false
+	}
 	if e.has(flagStale | flagSending) {
 		return true
 	}
@@ -172,7 +178,7 @@
 	if service == nil {
 		return false
 	}
-	if state.owner != t.self && e.opened >= state.changed-leastAge {
+	if state.owner != t.self && e.opened >= state.lost-leastAge {
 		// The new owner may have taken the base before this flow was opened.
 		return true
 	}
@@ -185,6 +191,13 @@
 	return differs(g.acked(key), bucket, e.endpoint) || differs(g.underWay(key), bucket, e.endpoint)
 }
 
+// reportedByFormer reports whether the owner before this instance still has the
+// flow and reports it to the present owner itself. What this instance was told
+// about it may be older.
+func (s *Shard) reportedByFormer(t *Tables, state *slotState, e *entry) bool {
+	return e.has(flagNoTuple) && state.former != 0 && state.lost-state.gained < handover && t.relaysFor(state.former)
+}
+
 func differs(table *lookup.Table, bucket uint8, endpoint common.EndpointID) bool {
 	return table != nil && table.Default(bucket) != endpoint
 }
@@ -195,7 +208,8 @@
 		return
 	}
 	e.flags |= flagQueued
-	s.queue = append(s.queue, queued{s.table.position(e), e.hash})
+	s.queue = append(s.queue, queued{s.table.position(e), e.hash, e.opened})
+	s.slotTarget(s.slot(e.hash)).services[e.service] = true
 }
 
 // withdraw tells the target that a reported flow has ended.
@@ -226,12 +240,12 @@
 		e.flags &^= flagQueued
 		if s.needsReport(t, e) {
 			e.flags |= flagQueued
-			s.queue = append(s.queue, queued{uint32(i), e.hash})
+			s.queue = append(s.queue, queued{uint32(i), e.hash, s.orderOf(t, e)})
 			s.slotTarget(s.slot(e.hash)).services[e.service] = true
 		}
 	}
 	slices.SortFunc(s.queue, func(a, b queued) int {
-		return s.compareQueued(t, a, b)
+		return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.hash, b.hash))
 	})
 	s.forgetTargets(t)
 }
@@ -253,17 +267,12 @@
 	}
 }
 
-func (s *Shard) compareQueued(t *Tables, a, b queued) int {
-	lostA := s.slot(a.hash).owner != t.self
-	lostB := s.slot(b.hash).owner != t.self
-	if lostA != lostB {
-		if lostA {
-			return -1
-		}
-		return 1
+// orderOf returns the key that the queue is sorted by.
+func (s *Shard) orderOf(t *Tables, e *entry) time.Duration {
+	if s.slot(e.hash).owner != t.self {
+		return e.opened - math.MaxInt64/2
 	}
-	x, y := &s.table.entries[a.position], &s.table.entries[b.position]
-	return cmp.Or(cmp.Compare(x.opened, y.opened), cmp.Compare(a.hash, b.hash))
+	return e.opened
 }
 
 // forgetTargets drops targets that need nothing any more.
@@ -338,8 +347,9 @@
 	b.addResets()
 	b.addWithdrawals()
 	b.addFlows(now)
-	b.addBases()
 	b.addSlotBases()
+	b.waitForSlotBases()
+	b.addBases()
 	if b.empty() {
 		return nil
 	}
@@ -389,11 +399,12 @@
 		return
 	}
 	e.flags &^= flagSending
-	if e.endpoint == flow.endpoint {
-		e.flags = e.flags&^flagStale | flagReported
+	if e.has(flagStale) || e.endpoint != flow.endpoint {
+		// The flow changed after the batch was made.
+		e.flags |= flagStale
 		return
 	}
-	e.flags |= flagStale
+	e.flags |= flagReported
 }
 
 // pending returns the number of updates that no target has acknowledged.
