--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -44,6 +44,10 @@
 	drains   map[string]bool
 	failure  error
 	oldest   uint64
+	// kept is the number of releases that the platform keeps, 0 for all.
+	kept int
+	// frozen makes the platform accept requests without an answer.
+	frozen bool
 }
 
 func (f *fakeControl) OldestInForce() uint64 { return f.oldest }
@@ -108,11 +112,22 @@
 	return &adminpb.StatusResponse{DataCentre: "fukuoka"}, f.failure
 }
 
-func (f *fakeControl) History(_ context.Context, limit int) ([]*adminpb.ReleaseSummary, error) {
+func (f *fakeControl) History(ctx context.Context, limit int) ([]*adminpb.ReleaseSummary, error) {
+	var summaries []*adminpb.ReleaseSummary
+	if f.failure != nil {
+		return nil, f.failure
+	}
+	if f.frozen {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var summaries []*adminpb.ReleaseSummary
-	for i := len(f.accepted) - 1; i >= 0 && len(summaries) < limit; i-- {
+	oldest := 0
+	if f.kept > 0 {
+		oldest = max(0, len(f.accepted)-f.kept)
+	}
+	for i := len(f.accepted) - 1; i >= oldest && len(summaries) < limit; i-- {
 		summaries = append(summaries, &adminpb.ReleaseSummary{Number: f.accepted[i].Number, Author: f.accepted[i].Author, Hash: f.hashes[i]})
 	}
 	return summaries, nil
@@ -475,6 +490,10 @@
 	control.failure = resultcode.Errorf(resultcode.PlatformUnreachable, "no answer")
 	_, err := client.Publish(t.Context(), &adminpb.PublishRequest{Files: files(1), Author: "aiko"})
 	wantTwirp(t, err, twirp.Unavailable, resultcode.PlatformUnreachable)
+	// burdockctl takes an error with a code as proof that nothing was published.
+	control.failure = fmt.Errorf("read the pointer: %w", context.DeadlineExceeded)
+	_, err = client.Publish(t.Context(), &adminpb.PublishRequest{Files: files(1), Author: "aiko"})
+	wantTwirp(t, err, twirp.DeadlineExceeded, resultcode.AdminUnavailable)
 }
 
 // Guards against a drain of an endpoint that does not exist.
@@ -540,3 +559,46 @@
 		}
 	}
 }
+
+// Guards against a history that ends with the bodies that the platform keeps,
+// and against one that is not available during a platform outage.
+func TestHistoryIsLongerThanThePlatformKeeps(t *testing.T) {
+	control := newFake()
+	control.kept = 3
+	client := start(t, control, "", "")
+	for i := 1; i <= 30; i++ {
+		if _, err := client.Publish(t.Context(), &adminpb.PublishRequest{Files: files(i), Author: "aiko"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, failure := range []error{nil, resultcode.Errorf(resultcode.PlatformUnreachable, "no answer")} {
+		control.failure = failure
+		response, err := client.History(t.Context(), &adminpb.HistoryRequest{Limit: 28})
+		if err != nil || len(response.GetReleases()) != 28 {
+			t.Fatalf("failure %v: got %d releases, %v", failure, len(response.GetReleases()), err)
+		}
+		for i, release := range response.GetReleases() {
+			if release.GetNumber() != uint64(30-i) || release.GetHash() != control.hashes[29-i] {
+				t.Fatalf("failure %v: release %d is %v", failure, i, release)
+			}
+		}
+	}
+}
+
+// Guards against a history that waits for a frozen platform until the client
+// gives up.
+func TestHistoryAnswersWhileThePlatformIsFrozen(t *testing.T) {
+	control := newFake()
+	server := NewServer(control, zap.NewNop())
+	server.historyTimeout = 50 * time.Millisecond
+	if _, err := server.Publish(t.Context(), &adminpb.PublishRequest{Files: files(1), Author: "aiko"}); err != nil {
+		t.Fatal(err)
+	}
+	control.frozen = true
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	response, err := server.History(ctx, &adminpb.HistoryRequest{})
+	if err != nil || len(response.GetReleases()) != 1 || !response.GetReleases()[0].GetInForce() {
+		t.Fatal(response, err)
+	}
+}
--- a/internal/config/encode.go
+++ b/internal/config/encode.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"reflect"
 	"time"
 
 	"burdockrelay.example/burdockrelay/internal/resultcode"
@@ -27,7 +26,7 @@
 const hashLength = 2 * sha256.Size
 
 // Hash returns the SHA-256 of the canonical form of the objects. It does not
-// depend on numbers, files or their order.
+// depend on numbers, files or their order. Release.Hash is another value.
 func (c *Configuration) Hash() string {
 	copied := c.clone()
 	for i := range copied.Services {
@@ -46,6 +45,16 @@
 	return hashOf(content)
 }
 
+// Hash returns the SHA-256 of the canonical content, as Encode does.
+func (r *Release) Hash() string {
+	content, err := json.Marshal(r)
+	if err != nil {
+		// A release holds only strings, numbers and valid addresses.
+		panic(err)
+	}
+	return hashOf(content)
+}
+
 func hashOf(content []byte) string {
 	sum := sha256.Sum256(content)
 	return hex.EncodeToString(sum[:])
@@ -105,12 +114,11 @@
 	if found := hashOf(content); found != stated {
 		return nil, resultcode.Errorf(resultcode.ReleaseHashMismatch, "the body states hash %s and has %s", stated, found)
 	}
-	decoder := json.NewDecoder(bytes.NewReader(content))
-	decoder.DisallowUnknownFields()
 	release := &Release{}
-	if err := decoder.Decode(release); err != nil {
+	if err := json.Unmarshal(content, release); err != nil {
 		return nil, resultcode.Errorf(resultcode.ConfigSyntax, "decode release: %w", err)
 	}
+	// The comparison also finds unknown fields, which Unmarshal ignores.
 	canonical, err := json.Marshal(release)
 	if err != nil || !bytes.Equal(canonical, content) {
 		return nil, resultcode.Errorf(resultcode.ConfigSyntax, "release %d is not in canonical form", release.Number)
@@ -148,9 +156,7 @@
 	if _, err := time.Parse(time.RFC3339Nano, r.CreatedAt); err != nil {
 		return resultcode.Errorf(resultcode.ConfigOutOfRange, "release %d: time of creation: %w", r.Number, err)
 	}
-	sorted := r.clone()
-	sorted.sort()
-	if !reflect.DeepEqual(sorted, r.Configuration) {
+	if !r.isSorted() {
 		return resultcode.Errorf(resultcode.ConfigSyntax, "release %d: objects are not sorted", r.Number)
 	}
 	if err := r.validateValues(); err != nil {
@@ -159,7 +165,29 @@
 	if err := r.validateNumbers(); err != nil {
 		return err
 	}
-	return r.validateQuarantine()
+	if err := r.validateQuarantine(); err != nil {
+		return err
+	}
+	return r.validateHistory()
+}
+
+func (r *Release) validateHistory() error {
+	if len(r.History) > MaxHistory {
+		return resultcode.Errorf(resultcode.CheckLimit, "release %d: %d releases in the history", r.Number, len(r.History))
+	}
+	after := r.Number
+	for i := range r.History {
+		record := &r.History[i]
+		bounded := len(record.Hash) == hashLength && len(record.Author) <= MaxAuthorLength && len(record.Note) <= maxRecordNote
+		if record.Number == 0 || record.Number >= after || !bounded {
+			return resultcode.Errorf(resultcode.ConfigOutOfRange, "release %d: release %d in the history is not valid", r.Number, record.Number)
+		}
+		if _, err := time.Parse(time.RFC3339Nano, record.CreatedAt); err != nil {
+			return resultcode.Errorf(resultcode.ConfigOutOfRange, "release %d: time of release %d: %w", r.Number, record.Number, err)
+		}
+		after = record.Number
+	}
+	return nil
 }
 
 func (r *Release) validateNumbers() error {
--- a/internal/config/scale_test.go
+++ b/internal/config/scale_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,6 +35,12 @@
 	if stored := len(body) * 4 / 3; stored >= 1_000_000 {
 		t.Fatalf("the body has %d bytes in base64", stored)
 	}
+	release.History = longHistory()
+	body, _, err = release.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("body with %d releases in the history: %d bytes", len(release.History), len(body))
 	// Every address is in quarantine after all of them were replaced at once.
 	for i := range release.Services {
 		release.Quarantine = append(release.Quarantine, QuarantinedAddress{
@@ -51,7 +58,27 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("body with %d addresses in quarantine: %d bytes", len(release.Quarantine), len(body))
+	t.Logf("body with %d addresses in quarantine as well: %d bytes", len(release.Quarantine), len(body))
+}
+
+// longHistory fills the history with texts that do not compress.
+func longHistory() []ReleaseRecord {
+	random := rand.New(rand.NewPCG(4, 0))
+	text := func(length int) string {
+		var b strings.Builder
+		for b.Len() < length {
+			fmt.Fprintf(&b, "%016x", random.Uint64())
+		}
+		return b.String()[:length]
+	}
+	records := make([]ReleaseRecord, MaxHistory)
+	for i := range records {
+		records[i] = ReleaseRecord{
+			Number: uint64(MaxHistory - i), Hash: text(hashLength), Author: text(MaxAuthorLength), Note: text(maxRecordNote),
+			CreatedAt: testTime.Format(time.RFC3339Nano),
+		}
+	}
+	return records
 }
 
 // Guards against a release that is written but cannot be stored.
@@ -66,3 +93,37 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+// BenchmarkDecodeRelease measures what every instance does for each release at
+// the target scale.
+func BenchmarkDecodeRelease(b *testing.B) {
+	configuration, faults := Parse([]File{{Name: "scale.yaml", Content: []byte(targetScale(1, 1_900, 14_000))}})
+	if len(faults) > 0 {
+		b.Fatal(faults)
+	}
+	release, faults := BuildRelease(configuration, nil, ReleaseInfo{Author: "a", CreatedAt: testTime})
+	if len(faults) > 0 {
+		b.Fatal(faults)
+	}
+	body, _, err := release.Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := DecodeRelease(body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkParse measures what a publication at the target scale takes.
+func BenchmarkParse(b *testing.B) {
+	files := []File{{Name: "scale.yaml", Content: []byte(targetScale(1, 1_900, 14_000))}}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, faults := Parse(files); len(faults) > 0 {
+			b.Fatal(faults)
+		}
+	}
+}
--- a/internal/controller/replication.go
+++ b/internal/controller/replication.go
@@ -42,7 +42,10 @@
 	endpointsLimit = maxProbeInterval
 	// pullTries is how often a peer is asked for the state of the slots.
 	pullTries = 2
-	// handoverLimit bounds how long a leaving instance hands over exceptions.
+	// reportLimit bounds how long an instance that is to leave reports its
+	// exceptions while it still owns its slots.
+	reportLimit = 30 * time.Second
+	// handoverLimit bounds how long a leaving instance hands over the rest.
 	handoverLimit = 4 * time.Second
 )
 
@@ -53,9 +56,9 @@
 	// datagram is in flight at a time, so a target takes them in this order.
 	queues map[common.InstanceID]*replicationQueue
 	acks   chan *replicationAck
-	// pending is the number of updates that entryd still holds back and of
-	// batches without acknowledgement.
-	pending int
+	// looks counts the calls of takeDue that entryd answered, lastPending is the
+	// last of them with updates that no target has acknowledged.
+	looks, lastPending uint64
 }
 
 // replicationQueue is what one target has not acknowledged.
@@ -96,7 +99,8 @@
 	}
 }
 
-// budget returns the bytes that exceptions may use now.
+// budget returns the bytes that exceptions may use now. An instance that still
+// owns its slots keeps the reserve for probes, or its lease would lapse.
 func (r *replicationController) budget() int {
 	r.mu.Lock()
 	leaving := r.machine.Self().State == common.MemberLeaving
@@ -111,7 +115,8 @@
 func (r *replicationController) takeDue(ctx context.Context) {
 	budget := r.budget()
 	if budget < minReplicationBudget || r.queued() >= maxQueuedBatches {
-		return
+		// The call still tells what is pending.
+		budget = 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, entryTimeout)
 	defer cancel()
@@ -122,9 +127,6 @@
 	if err != nil {
 		return
 	}
-	r.mu.Lock()
-	r.pending = int(response.GetPending()) + len(response.GetBatches()) + r.queued()
-	r.mu.Unlock()
 	for _, batch := range response.GetBatches() {
 		target := common.InstanceID(batch.GetTarget())
 		if r.queues[target] == nil {
@@ -132,6 +134,12 @@
 		}
 		r.queues[target].batches = append(r.queues[target].batches, batch)
 	}
+	r.mu.Lock()
+	r.looks++
+	if response.GetPending() > 0 || r.queued() > 0 {
+		r.lastPending = r.looks
+	}
+	r.mu.Unlock()
 }
 
 func (r *replicationController) queued() int {
@@ -429,31 +437,30 @@
 	}
 }
 
-// handOver waits until entryd has no update left for the new owners.
-func (r *replicationController) handOver() {
-	deadline := r.now() + handoverLimit
-	idle := 0
-	pending := 0
-	defer func() {
-		r.logger.Info("handed_over", zap.Int("pending", pending))
-	}()
-	for r.now() < deadline && idle < idleBeforeEnd {
+// waitReported waits until entryd has had no update left for the other instances
+// in the given number of looks in a row, or until the limit.
+func (r *replicationController) waitReported(limit time.Duration, looks uint64) {
+	deadline := r.now() + limit
+	r.mu.Lock()
+	first := r.looks
+	r.mu.Unlock()
+	for r.now() < deadline {
 		time.Sleep(replicationInterval)
 		r.mu.Lock()
-		pending = r.pending
+		idle := r.looks - max(r.lastPending, first)
 		peers := len(r.machine.Peers())
 		r.mu.Unlock()
-		if peers == 0 {
+		if peers == 0 || idle >= looks {
 			return
 		}
-		if pending == 0 {
-			idle++
-		} else {
-			idle = 0
-		}
 	}
 }
 
+// idleBeforeLeaving is the number of looks without pending updates before an
+// instance announces that it leaves: 600 ms, in which entryd gets a snapshot
+// that forbids exceptions.
+const idleBeforeLeaving = 3
+
 // idleBeforeEnd is the number of looks without pending updates before a leaving
 // instance ends: 2 s, in which the announcement also reaches the peers.
 const idleBeforeEnd = 10
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -15,19 +15,21 @@
 readonly LIMIT_S=41
 readonly START_MS=$(date +%s%3N)
 
-readonly PLATFORM=127.0.0.1:9000
-readonly FABRIC_INGRESS=127.0.0.1:6081
-readonly FABRIC_RETURN=127.0.0.1:6082
-readonly FABRIC_CONTROL=127.0.0.1:9001
-readonly CALLER_CONTROL=127.0.0.1:9002
-readonly ENTRY_NET=127.0.10
+# All addresses lie below NET, so that two runs do not collide.
+readonly NET=${BURDOCK_DEMO_NET:-127.0}
+readonly PLATFORM=$NET.0.1:9000
+readonly FABRIC_INGRESS=$NET.0.1:6081
+readonly FABRIC_RETURN=$NET.0.1:6082
+readonly FABRIC_CONTROL=$NET.0.1:9001
+readonly CALLER_CONTROL=$NET.0.1:9002
+readonly ENTRY_NET=$NET.10
 readonly ENTRIES="1 2 3 4 5"
 readonly RESTARTED=3
 readonly KILLED=2
 readonly DRAWINGS=10.90.0.1:80
 readonly DESK=10.90.0.2:80
 readonly DRAINED=drawing-1
-readonly DRAINED_CONTROL=127.0.20.1:8080
+readonly DRAINED_CONTROL=$NET.20.1:8080
 # Endpoint name, last byte of its address, service and slots.
 readonly ENDPOINTS="
 drawing-1 1 $DRAWINGS 64
@@ -41,6 +43,9 @@
 # Bounds of the checks, from docs/design.md sections 1.2 and 1.6.
 readonly MAX_IN_FORCE_MS=16000
 readonly MAX_CONTROL_BYTES=4096
+# A takeover may take 5 s; the retransmission that then succeeds can come as much
+# later again, because TCP doubles its timeout.
+readonly STALL_S=11
 # A leaving endpoint gets no new flows after this time.
 readonly DRAIN_S=3
 
@@ -61,14 +66,16 @@
   pids[$name]=$!
 }
 
-# stop NAME SIGNAL SECONDS ends a program and waits; it is killed when the time
-# is over.
-stop() {
-  local name=$1 signal=$2 pid=${pids[$1]} tries=$(($3 * 20))
-  kill -s "$signal" "$pid" 2>/dev/null
+# send NAME SIGNAL sends a signal to a program.
+send() { kill -s "$2" "${pids[$1]}"; }
+
+# await_end NAME SECONDS waits for the end of a program. It is killed when the
+# time is over.
+await_end() {
+  local name=$1 pid=${pids[$1]} tries=$(($2 * 20))
   while kill -0 "$pid" 2>/dev/null && ((tries-- > 0)); do sleep 0.05; done
   if kill -0 "$pid" 2>/dev/null; then
-    check "$name ends within $3 s" false
+    check "$name ends within $2 s" false
     kill -s KILL "$pid" 2>/dev/null
   fi
   wait "$pid" 2>/dev/null
@@ -234,7 +241,7 @@
   done
 }
 
-ctl() { timeout 12 "$BIN/burdockctl" -settings "$OUT/ctl.yaml" "$@" >>"$OUT/burdockctl.log" 2>&1; }
+ctl() { BURDOCKCTL_SETTINGS=$OUT/ctl.yaml timeout 12 "$BIN/burdockctl" "$@" >>"$OUT/burdockctl.log" 2>&1; }
 
 write_settings() {
   local i=$1 common
@@ -283,7 +290,7 @@
   while read -r name byte service slots; do
     [ -n "$name" ] || continue
     start "$name" "$BIN/standin-endpoint" -name "$name" -services "$service" -slots "$slots" \
-      -tunnel "127.0.20.$byte:6081" -health "127.0.20.$byte:8080" -return $FABRIC_RETURN
+      -tunnel "$NET.20.$byte:6081" -health "$NET.20.$byte:8080" -return $FABRIC_RETURN
   done <<<"$ENDPOINTS"
   must "platform and fabric answer" 3 answering
   for i in $ENTRIES; do
@@ -302,12 +309,12 @@
 start_callers() {
   local endpoints=
   while read -r name byte _; do
-    [ -n "$name" ] && endpoints+=${endpoints:+,}127.0.20.$byte:8080
+    [ -n "$name" ] && endpoints+=${endpoints:+,}$NET.20.$byte:8080
   done <<<"$ENDPOINTS"
-  start caller "$BIN/standin-caller" -listen 127.0.0.1:6083 -fabric $FABRIC_INGRESS -control $CALLER_CONTROL \
+  start caller "$BIN/standin-caller" -listen $NET.0.1:6083 -fabric $FABRIC_INGRESS -control $CALLER_CONTROL \
     -callers 24 -seed 1 -drawings $DRAWINGS -boards $DESK -reports $DESK \
     -download-size 400000 -download-rate 100000 -requests-per-flow 20 -pause 150ms \
-    -duration 19s -grace 6s -stall 5s -endpoints "$endpoints" -summary "$OUT/summary.json"
+    -duration 22s -grace 12s -stall "${STALL_S}s" -endpoints "$endpoints" -summary "$OUT/summary.json"
 }
 
 # publish RELEASE INSTANCE... publishes and notes the time until the release is
@@ -316,7 +323,8 @@
   local release=$1 begin
   shift
   begin=$(elapsed_ms)
-  check "burdockctl publishes release $release" ctl publish "$RELEASES/release-$release.yaml"
+  sed "s/127\.0\./$NET./" "$RELEASES/release-$release.yaml" >"$OUT/release-$release.yaml"
+  check "burdockctl publishes release $release" ctl publish "$OUT/release-$release.yaml"
   must "release $release is in force on $# instances" 16 all_in_force "$release" "$@"
   local took=$(($(elapsed_ms) - begin))
   note "time to in force, release $release" "$took ms"
@@ -331,19 +339,24 @@
 }
 
 # restart_entry stops an instance in the planned order and starts it again.
+# controld hands over first; entryd relays what the fabric still sends.
 restart_entry() {
-  local i=$1
+  local i=$1 begin
+  begin=$(elapsed_ms)
   say "restarting entry-$i"
   list_instance "$i" leaving
-  stop "controld-$i" TERM 5
+  send "controld-$i" TERM
+  sleep 1
   spray DELETE "$i"
-  # Packets that the fabric has already sent are still relayed.
-  sleep 0.5
-  stop "entryd-$i" TERM 3
+  await_end "controld-$i" 11
+  send "entryd-$i" TERM
+  await_end "entryd-$i" 4
+  say "entry-$i has stopped"
   list_instance "$i" live
   start_entry "$i"
   must "entry-$i serves again" 10 all_serving $ENTRIES
   spray PUT "$i"
+  note "time of the restart" "$(($(elapsed_ms) - begin)) ms"
 }
 
 kill_entry() {
@@ -351,8 +364,10 @@
   check "flows are open when entry-$i is killed" at_least "$(counter $CALLER_CONTROL/control/summary flows_open)" 1
   say "killing both daemons of entry-$i"
   killed_ms=$(elapsed_ms)
-  stop "entryd-$i" KILL 1
-  stop "controld-$i" KILL 1
+  send "entryd-$i" KILL
+  send "controld-$i" KILL
+  await_end "entryd-$i" 1
+  await_end "controld-$i" 1
   # The fabric and the instance list notice later.
   sleep 1
   spray DELETE "$i"
@@ -375,6 +390,8 @@
     all+="$bytes "
     if ! number "$bytes" || ((bytes > worst)); then worst=$bytes; fi
     violations=$((violations + $(status "$i" | field invariant_violations)))
+    http "http://$ENTRY_NET.$i:9101/metrics" >"$OUT/entryd-$i.metrics"
+    http "http://$ENTRY_NET.$i:9102/metrics" >"$OUT/controld-$i.metrics"
   done
   note "control bytes per second per daemon" "$all"
   check "control traffic is at most $MAX_CONTROL_BYTES bytes per second per daemon" at_most "$worst" $MAX_CONTROL_BYTES
@@ -386,7 +403,7 @@
   local name byte misdelivered=0 options=0 malformed=0 late
   while read -r name byte _; do
     [ -n "$name" ] || continue
-    http "http://127.0.20.$byte:8080/control/counters" >"$OUT/$name.json"
+    http "http://$NET.20.$byte:8080/control/counters" >"$OUT/$name.json"
     misdelivered=$((misdelivered + $(number_of misdelivered <"$OUT/$name.json")))
     options=$((options + $(number_of with_options <"$OUT/$name.json")))
     malformed=$((malformed + $(number_of malformed <"$OUT/$name.json")))
