--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -76,13 +76,39 @@
 	return hopCount
 }
 
+// recentServices is the size of the cache in front of the tables' services.
+const recentServices = 64
+
 // matchFilter finds the service of the packet's destination (P2).
-type matchFilter struct{}
+type matchFilter struct {
+	// state is the one that the cache holds services of.
+	state  *state
+	recent [recentServices]*flow.ServiceTables
+}
 
-func (matchFilter) apply(x *exchange) bool {
+func (f *matchFilter) apply(x *exchange) bool {
 	if x.state == nil {
 		return x.stop(resultcode.DroppedNoTables)
 	}
+	if f.state != x.state {
+		f.state = x.state
+		clear(f.recent[:])
+	}
+	tuple := &x.flow.Tuple
+	recent := &f.recent[(uint16(tuple.Destination[3])+tuple.DestinationPort)%recentServices]
+	if *recent != nil && (*recent).Service().Address == serviceAddress(tuple) {
+		x.flow.Service = *recent
+		return true
+	}
+	if !match(x) {
+		return false
+	}
+	*recent = x.flow.Service
+	return true
+}
+
+// match finds the service in the tables.
+func match(x *exchange) bool {
 	x.flow.Service = x.state.tables.Match(serviceAddress(&x.flow.Tuple))
 	if x.flow.Service == nil {
 		return x.stop(resultcode.PacketNoService)
@@ -118,8 +144,11 @@
 // rematch repeats the match with the tables that the shard has installed. They
 // differ from those of the batch while a snapshot is applied.
 func rematch(s *shard, x *exchange) bool {
+	if s.state == nil {
+		return x.stop(resultcode.DroppedNoTables)
+	}
 	x.state = s.state
-	return matchFilter{}.apply(x)
+	return match(x)
 }
 
 // invariantFilter stops actions that would break an invariant.
--- a/internal/entry/sender.go
+++ b/internal/entry/sender.go
@@ -28,8 +28,13 @@
 	segmentSizeBytes = 2
 )
 
+// recentDestinations is the size of the cache in front of the map of
+// destinations: a batch has at most 64 of them.
+const recentDestinations = 256
+
 // destination is an address that packets are sent to.
 type destination struct {
+	to      netip.AddrPort
 	address *net.UDPAddr
 	// batch is the batch that the destination was last used in, group the
 	// message that takes its packets there.
@@ -52,6 +57,7 @@
 type sender struct {
 	conn         *ipv4.PacketConn
 	destinations map[netip.AddrPort]*destination
+	recent       [recentDestinations]*destination
 	batch        uint64
 	messages     [maxBatch]ipv4.Message
 	groups       [maxBatch]group
@@ -130,13 +136,22 @@
 // destination returns what is known about an address without allocating for one
 // that was used before.
 func (s *sender) destination(to netip.AddrPort) *destination {
+	address := to.Addr().As4()
+	recent := &s.recent[(uint16(address[2])*31+uint16(address[3])+to.Port())%recentDestinations]
+	if *recent == nil || (*recent).to != to {
+		*recent = s.lookUp(to)
+	}
+	return *recent
+}
+
+func (s *sender) lookUp(to netip.AddrPort) *destination {
 	if d := s.destinations[to]; d != nil {
 		return d
 	}
 	if len(s.destinations) >= maxDestinations {
 		clear(s.destinations)
 	}
-	d := &destination{address: net.UDPAddrFromAddrPort(to)}
+	d := &destination{to: to, address: net.UDPAddrFromAddrPort(to)}
 	s.destinations[to] = d
 	return d
 }
--- a/internal/entry/worker.go
+++ b/internal/entry/worker.go
@@ -42,7 +42,7 @@
 	}
 	w.chain = []filter{
 		&decodeFilter{},
-		matchFilter{},
+		&matchFilter{},
 		&flowFilter{shards: &server.shards},
 		&invariantFilter{shards: &server.shards, metrics: server.metrics},
 		&encodeFilter{
