--- a/internal/decision/membership/membership.go
+++ b/internal/decision/membership/membership.go
@@ -201,6 +201,8 @@
 	announcements uint64
 	// allowance bounds the piggyback further when few bytes may be sent.
 	allowance int
+	// preparingLeave is set from PrepareLeave on.
+	preparingLeave bool
 }
 
 // New returns a machine in state joining. The incarnation is a first guess: a
@@ -314,6 +316,13 @@
 	m.selfChanged(now)
 }
 
+// PrepareLeave keeps the view unsettled, so that this instance makes no more
+// exceptions while it still owns its slots.
+func (m *Machine) PrepareLeave() {
+	m.preparingLeave = true
+	m.version++
+}
+
 // Leave announces that this instance hands its slots over.
 func (m *Machine) Leave(now time.Duration) {
 	if m.self.State == common.MemberLeaving {
@@ -349,7 +358,9 @@
 	m.lastTick = now
 	var out []Output
 	out = m.checkProbes(now, out)
-	m.checkSuspects(now)
+	if m.checkSuspects(now) {
+		out = m.spread(now, out)
+	}
 	if now >= m.nextProbe {
 		out = m.startProbes(now, out)
 	}
@@ -458,7 +469,7 @@
 // checkSuspects declares members dead whose last response is old enough. An
 // isolated instance cannot tell the death of all others from its own cut; it
 // waits for the whole grace, so that it spreads no false declarations.
-func (m *Machine) checkSuspects(now time.Duration) {
+func (m *Machine) checkSuspects(now time.Duration) (declared bool) {
 	wait := m.config.DeadAfter
 	if m.Isolated(now) {
 		wait = m.config.ListGrace
@@ -470,8 +481,23 @@
 		}
 		if now-r.lastSign() >= wait {
 			m.declareDead(r, now)
+			declared = true
 		}
 	}
+	return declared
+}
+
+// spread tells some members of a death at once; until they know it, they relay
+// packets to the dead owner.
+func (m *Machine) spread(now time.Duration, out []Output) []Output {
+	sent := 0
+	for _, i := range m.random.Perm(len(m.order)) {
+		if r := m.records[m.order[i]]; r.reachable() && sent < m.config.IndirectProbes {
+			out = m.sendProbe(r, now, out)
+			sent++
+		}
+	}
+	return out
 }
 
 // lastSign is the later of the suspicion and the last response.
@@ -985,7 +1011,7 @@
 // Settled reports whether every listed instance answers and no change of the
 // view is under way.
 func (m *Machine) Settled(now time.Duration) bool {
-	if m.self.State != common.MemberServing || m.Isolated(now) {
+	if m.self.State != common.MemberServing || m.preparingLeave || m.Isolated(now) {
 		return false
 	}
 	if now-m.lastChange < m.config.QuietPeriod {
