Let relayed packets take up to four hops after a change, and serve without any controld

When every controld of a group was gone, fenced instances dropped all relayed packets. Ruled out: one hop always, because views differ for part of a second. After: in a stable view a packet is still relayed once. An instance that has run for 6 s past its lease without a pause handles relayed packets by its table and the defaults.

--- a/internal/decision/flow/choose.go
+++ b/internal/decision/flow/choose.go
@@ -35,7 +35,7 @@
 // mayDeviate reports whether a new flow may get another endpoint than the
 // default: only its undisputed owner in a settled view may do so.
 func (s *Shard) mayDeviate(t *Tables, p *Packet, now time.Duration) bool {
-	if !t.snapshot.Settled || t.snapshot.Isolated {
+	if !t.snapshot.Settled || t.snapshot.Isolated || p.Orphaned {
 		return false
 	}
 	owner, found := t.owners.Owner(p.Hash.Slot())
--- a/internal/decision/flow/handle_test.go
+++ b/internal/decision/flow/handle_test.go
@@ -158,3 +158,30 @@
 		}
 	}
 }
+
+// Guards against a group that drops all relayed packets when every controld is
+// gone. An orphaned instance must not make exceptions, because nobody replicates
+// them.
+func TestOrphanedInstanceHandlesRelayedPackets(t *testing.T) {
+	snapshot := testSnapshot(4, 3)
+	snapshot.Settled = true
+	snapshot.Services[0].Policy.Selection = common.SelectionTwoChoices
+	tables := mustTables(t, snapshot, nil)
+	handle := testShard(tables, Limits{MaxFlows: 1000})
+	for source := range uint32(200) {
+		p := tcpPacket(tables, source, true, 9)
+		p.HopCount = 1
+		if dropped := handle(p, 0, false); dropped.Kind != Drop {
+			t.Fatalf("fenced instance: %+v", dropped)
+		}
+		p.Orphaned = true
+		opened := handle(p, 0, false)
+		if opened.Kind != Forward || opened.Endpoint != p.Service.table.Default(p.Hash.Bucket()) {
+			t.Fatalf("orphaned instance: %+v", opened)
+		}
+		p.First = false
+		if next := handle(p, time.Second, false); next != opened {
+			t.Fatalf("flow moved from %+v to %+v", opened, next)
+		}
+	}
+}
--- a/internal/decision/flow/packet.go
+++ b/internal/decision/flow/packet.go
@@ -29,6 +29,10 @@
 	Fin, Reset    bool
 	PayloadLength int
 	HopCount      uint8
+	// Orphaned is set on an instance without a controld that only other such
+	// instances still send packets to: it handles relayed packets by its table
+	// and the defaults, because nobody else would.
+	Orphaned bool
 }
 
 // ActionKind is what to do with a packet.
--- a/internal/decision/flow/shard.go
+++ b/internal/decision/flow/shard.go
@@ -114,7 +114,7 @@
 	if p.HopCount > 0 {
 		// A fenced instance cannot know where the flow is now: a lost packet
 		// is repeated, a wrong endpoint resets the connection.
-		return Action{Kind: Drop, Code: code}, !leaseValid
+		return Action{Kind: Drop, Code: code}, !leaseValid && !p.Orphaned
 	}
 	to, known := t.entryAddress(owner)
 	if !known {
@@ -141,7 +141,7 @@
 // that this instance has not, and the former owner of a slot has the flows that
 // it opened around the change.
 func (s *Shard) askOther(t *Tables, p *Packet, now time.Duration) (Action, bool) {
-	if p.HopCount >= maxHops || t.snapshot.Isolated || s.limits.ablation.noHandover {
+	if p.HopCount >= maxHops || t.snapshot.Isolated || p.Orphaned || s.limits.ablation.noHandover {
 		return Action{}, false
 	}
 	state := s.slot(p.Hash)
--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"math"
 	"net/netip"
 	"time"
 
@@ -22,9 +21,10 @@
 	state    *state
 	action   flow.Action
 
-	// now and leaseValid are the same for all packets of a batch.
+	// now, leaseValid and orphaned are the same for all packets of a batch.
 	now        time.Duration
 	leaseValid bool
+	orphaned   bool
 
 	// out and to are what the last filters send.
 	out []byte
@@ -61,21 +61,12 @@
 		Fin:           x.decoded.Fin,
 		Reset:         x.decoded.ResetFlag,
 		PayloadLength: x.decoded.PayloadLength,
-		HopCount:      finalHopCount(x.decoded.Relay.HopCount),
+		HopCount:      x.decoded.Relay.HopCount,
+		Orphaned:      x.orphaned,
 	}
 	return true
 }
 
-// finalHopCount makes the shard handle a packet with the highest hop count
-// locally: the shard would send it on to the former owner of a slot, and section
-// 3.2 of docs/design.md forbids a second relay.
-func finalHopCount(hopCount uint8) uint8 {
-	if hopCount >= packet.MaxHopCount {
-		return math.MaxUint8
-	}
-	return hopCount
-}
-
 // recentServices is the size of the cache in front of the tables' services.
 const recentServices = 64
 
@@ -188,7 +179,7 @@
 
 func (f *invariantFilter) checkRelay(x *exchange) bool {
 	if x.decoded.Relay.HopCount >= packet.MaxHopCount {
-		f.metrics.violation(invariantSecondRelay)
+		f.metrics.violation(invariantHopLimit)
 		return x.stop(resultcode.RouteHopLimit)
 	}
 	return true
--- a/internal/entry/invariants.go
+++ b/internal/entry/invariants.go
@@ -13,14 +13,14 @@
 	// invariantForeignEndpoint: no packet goes to an endpoint of another
 	// service (P2).
 	invariantForeignEndpoint invariant = "foreign_endpoint"
-	// invariantSecondRelay: no packet is relayed twice.
-	invariantSecondRelay invariant = "second_relay"
+	// invariantHopLimit: no packet is relayed beyond the highest hop count.
+	invariantHopLimit invariant = "hop_limit"
 	// invariantRefusedForwarded: no flow is refused after one of its packets
 	// was forwarded (P4).
 	invariantRefusedForwarded invariant = "refused_forwarded"
 )
 
-var invariants = []invariant{invariantForeignEndpoint, invariantSecondRelay, invariantRefusedForwarded}
+var invariants = []invariant{invariantForeignEndpoint, invariantHopLimit, invariantRefusedForwarded}
 
 // forwardedSlots bounds the first packets that one shard remembers. 64 shards
 // take 64 * 1,024 * 8 bytes = 512 KB.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -30,6 +30,8 @@
 	defaultWorkers = 4
 	// expireInterval and expireEntries let the sweep pass 400,000 entries in
 	// about 5 s.
+	// orphanTick is the time between two looks for a pause of the process.
+	orphanTick     = lease.MaxTickGap / 4
 	expireInterval = 100 * time.Millisecond
 	expireEntries  = 128
 	// requestBytes bounds a request of controld: a snapshot of the target
@@ -80,6 +82,7 @@
 
 	leaseLock sync.Mutex
 	lease     lease.Lease
+	orphan    lease.Orphan
 	// awaitSnapshot keeps the instance fenced although its lease is valid.
 	awaitSnapshot bool
 
@@ -176,6 +179,7 @@
 		s.tomb.Go(w.run)
 	}
 	s.tomb.Go(s.expire)
+	s.tomb.Go(s.tickOrphan)
 	s.tomb.Go(s.closeWhenDying)
 	s.serve(s.api, http.MaxBytesHandler(entrypb.NewEntryServer(&service{server: s}), requestBytes))
 	if s.metricsIn != nil {
@@ -300,6 +304,30 @@
 	return s.lease.Valid(now) && !s.awaitSnapshot
 }
 
+// orphaned reports whether this instance runs without a controld for so long
+// that it handles relayed packets.
+func (s *Server) orphaned(now time.Duration) bool {
+	s.leaseLock.Lock()
+	defer s.leaseLock.Unlock()
+	return s.orphan.Orphaned(&s.lease, now)
+}
+
+// tickOrphan notices pauses of the process.
+func (s *Server) tickOrphan() error {
+	ticker := time.NewTicker(orphanTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.tomb.Dying():
+			return nil
+		case <-ticker.C:
+			s.leaseLock.Lock()
+			s.orphan.Tick(s.now())
+			s.leaseLock.Unlock()
+		}
+	}
+}
+
 // renewLease extends the lease. After a lapse, the slots that the tables give to
 // this instance may have another owner: controld then makes the instance rejoin
 // and sends a snapshot, and until that arrives the instance stays fenced.
--- a/internal/entry/worker.go
+++ b/internal/entry/worker.go
@@ -78,6 +78,7 @@
 	now := w.server.since(started)
 	w.exchange.now = now
 	w.exchange.leaseValid = w.server.leaseValid(now)
+	w.exchange.orphaned = !w.exchange.leaseValid && w.server.orphaned(now)
 	batchState := w.server.state.Load()
 	w.send.begin(now)
 	bytes := 0
--- a/internal/packet/geneve.go
+++ b/internal/packet/geneve.go
@@ -35,9 +35,10 @@
 	flagCritical = 0x40
 )
 
-// MaxHopCount is the highest hop count of the relay option. An instance that
-// receives it handles the packet locally (docs/design.md, section 3.2).
-const MaxHopCount = 1
+// MaxHopCount is the highest hop count of the relay option. In a stable view a
+// packet is relayed once. For 6 s after a slot changed its owner, a packet of an
+// unknown flow may go on to the former owner, and back.
+const MaxHopCount = 4
 
 var (
 	errGeneveTruncated   = errors.New("geneve header exceeds the packet")
