Keep an older base while slots need it, and judge broken flows by the replication window

Cause: after a release, an owner that had gained its slots within the idle timeout sent a base for each of thousands of slots; at 500 bytes a second a restart in the demo waited 11 s and more, and flows waited behind the bases. Now the service base stays until no slot needs it; flows that are not on it are exceptions anyway. The demo required that a kill breaks no flow at all. The check now allows only flows opened within 3 s before the kill and broken after it, and prints their number.

--- a/internal/decision/flow/batch.go
+++ b/internal/decision/flow/batch.go
@@ -24,6 +24,8 @@
 	// waiting holds the bases that cannot change yet because a flow that the
 	// target resolves with the present one is not acknowledged.
 	waiting map[slotService]bool
+	// serviceBases caches the results of serviceBase.
+	serviceBases map[common.ServiceID]*lookup.Table
 }
 
 // anySlot marks the base of a service in all slots without their own.
@@ -40,9 +42,10 @@
 			bases:     make(map[common.ServiceID]*lookup.Table),
 			slotBases: make(map[slotService]*lookup.Table),
 		},
-		room:     min(limit, budget.Bytes) - batchBytes,
-		complete: true,
-		waiting:  make(map[slotService]bool),
+		room:         min(limit, budget.Bytes) - batchBytes,
+		complete:     true,
+		waiting:      make(map[slotService]bool),
+		serviceBases: make(map[common.ServiceID]*lookup.Table),
 	}
 }
 
@@ -140,7 +143,7 @@
 	}
 	for key, base := range b.shard.slotBases {
 		service := b.tables.service(key.service)
-		if service == nil || b.shard.slots[key.slot%shardSlots].target != b.id || base.table.Same(service.table) {
+		if service == nil || b.shard.slots[key.slot%shardSlots].target != b.id || base.table.Same(b.serviceBase(service)) {
 			continue
 		}
 		if acked := b.target.slotBases[key]; acked == nil || !acked.Same(base.table) {
@@ -152,21 +155,58 @@
 func (b *builder) addBases() {
 	for _, service := range b.tables.sortedServices() {
 		id := service.service.ID
-		acked := b.target.bases[id]
 		if !b.target.services[id] || b.waiting[slotService{anySlot, id}] {
 			continue
 		}
-		if acked != nil && acked.Same(service.table) {
+		wanted := b.serviceBase(service)
+		if acked := b.target.bases[id]; acked != nil && acked.Same(wanted) {
 			continue
 		}
-		base := service.table.Base()
+		base := wanted.Base()
 		if b.use(baseBytes + endpointBytes*len(base.Eligible)) {
 			b.sent.batch.Bases = append(b.sent.batch.Bases, base)
-			b.sent.bases[id] = service.table
+			b.sent.bases[id] = wanted
 		}
 	}
 }
 
+// serviceBase returns the base that the target should have for all slots of the
+// service without their own. While slots keep an older base, that one stays: a
+// base for each of thousands of slots would take minutes of the budget, and the
+// flows that are not on the older base are reported as exceptions anyway.
+func (b *builder) serviceBase(service *ServiceTables) *lookup.Table {
+	if wanted, found := b.serviceBases[service.service.ID]; found {
+		return wanted
+	}
+	wanted := b.commonSlotBase(service)
+	b.serviceBases[service.service.ID] = wanted
+	return wanted
+}
+
+// commonSlotBase returns the base that the target has if a slot keeps it, else
+// the one that most slots keep, else the present table.
+func (b *builder) commonSlotBase(service *ServiceTables) *lookup.Table {
+	id := service.service.ID
+	acked := b.target.bases[id]
+	most := service.table
+	counts := make(map[uint32]int)
+	for key, base := range b.shard.slotBases {
+		if key.service != id || b.shard.slots[key.slot%shardSlots].target != b.id {
+			continue
+		}
+		if acked != nil && acked.Same(base.table) {
+			return acked
+		}
+		number := base.table.ID()
+		counts[number]++
+		more := counts[number] > counts[most.ID()]
+		if more || (counts[number] == counts[most.ID()] && number < most.ID()) {
+			most = base.table
+		}
+	}
+	return most
+}
+
 // addSlotBases reports the bases of single slots, and their end.
 func (b *builder) addSlotBases() {
 	var encoder slotBaseEncoder
@@ -219,7 +259,7 @@
 		return false
 	}
 	acked := b.target.bases[key.service]
-	return acked == nil || !acked.Same(b.tables.service(key.service).table)
+	return acked == nil || !acked.Same(b.serviceBase(b.tables.service(key.service)))
 }
 
 func (b *builder) finish(now time.Duration, sequence uint64, budget *Budget) *common.ReplicationBatch {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -46,6 +46,10 @@
 # A takeover may take 5 s; the retransmission that then succeeds can come as much
 # later again, because TCP doubles its timeout.
 readonly STALL_S=11
+# A kill may break flows that its owner had not replicated: exceptions are sent
+# when they are 2 s old, and again after 1 s without acknowledgement (section 3.4).
+# Every other broken flow fails the demo.
+readonly UNREPLICATED_MS=3000
 # A leaving endpoint gets no new flows after this time.
 readonly DRAIN_S=3
 
@@ -364,6 +368,7 @@
   check "flows are open when entry-$i is killed" at_least "$(counter $CALLER_CONTROL/control/summary flows_open)" 1
   say "killing both daemons of entry-$i"
   killed_ms=$(elapsed_ms)
+  killed_at_ms=$(date +%s%3N)
   send "entryd-$i" KILL
   send "controld-$i" KILL
   await_end "entryd-$i" 1
@@ -415,9 +420,25 @@
   check "$DRAINED broke no download" equal "$(number_of broken_drawings <"$OUT/$DRAINED.json")" 0
 }
 
+# times_of KEY prints the times of a key in the summary, in ms.
+times_of() {
+  grep -o "\"$1\": *\"[^\"]*\"" "$OUT/summary.json" | cut -d'"' -f4 |
+    while read -r time; do date -d "$time" +%s%3N; done
+}
+
+# unreplicated_flows prints how many of the listed broken flows broke after the
+# kill and were opened so shortly before it that it may break them.
+unreplicated_flows() {
+  local opened broken count=0
+  while read -r opened broken; do
+    if ((broken >= killed_at_ms && opened >= killed_at_ms - UNREPLICATED_MS)); then count=$((count + 1)); fi
+  done < <(paste <(times_of opened_at) <(times_of broken_at))
+  echo $count
+}
+
 # read_summary checks what the callers saw.
 read_summary() {
-  local file=$OUT/summary.json key
+  local file=$OUT/summary.json key broken allowed
   note "flows opened" "$(number_of flows_opened <"$file")"
   note "broken flows" "$(number_of broken_flows <"$file")"
   note "downloads complete" "$(number_of downloads_complete <"$file")"
@@ -428,8 +449,14 @@
   note "imbalance of flows, order desk" "$(printf %.2f "$(in_section "$file" imbalance $DESK)") (one of 4 endpoints added)"
   check "downloads completed" at_least "$(number_of downloads_complete <"$file")" 1
   check "reports were answered" at_least "$(number_of reports_ok <"$file")" 1
-  for key in broken_flows wrong_answers crossed_answers unfinished downloads_failed boards_failed \
-    reports_unknown reports_double_run endpoints_unread reports_run_twice reports_refused_but_run \
+  broken=$(number_of broken_flows <"$file")
+  allowed=$(unreplicated_flows)
+  note "broken by the kill, not replicated" "$allowed"
+  check "no flow broke but those the kill may break" equal "$broken" "$allowed"
+  for key in downloads_failed boards_failed reports_unknown; do
+    check "${key//_/ }: at most those $allowed" at_most "$(number_of $key <"$file")" "$allowed"
+  done
+  for key in wrong_answers crossed_answers unfinished reports_double_run endpoints_unread reports_run_twice reports_refused_but_run \
     reports_answered_but_not_run reports_run_but_never_sent; do
     check "${key//_/ }: 0" equal "$(number_of $key <"$file")" 0
   done
