Report flows of lost slots that are not on the present default

Conclusion: flows of lost slots are reported when they are not on the present default, and again after a withdrawal. The restart of a successor has a test.

--- a/internal/decision/flow/replicate.go
+++ b/internal/decision/flow/replicate.go
@@ -182,6 +182,11 @@
 		// The new owner may have taken the base before this flow was opened.
 		return true
 	}
+	if state.owner != t.self && service.table.Default(e.hash.Bucket()) != e.endpoint {
+		// After a partition the owner did not get the slot from this instance
+		// and does not use its base.
+		return true
+	}
 	key := slotService{e.hash.Slot(), e.service}
 	bucket := e.hash.Bucket()
 	if s.wantedBase(service, key).Default(bucket) != e.endpoint {
--- a/internal/decision/flow/scenario_test.go
+++ b/internal/decision/flow/scenario_test.go
@@ -425,3 +425,61 @@
 		t.Fatalf("an old batch brought a withdrawn flow back: %+v", e)
 	}
 }
+
+// Guards against a partition whose sides do not tell each other, when it has
+// healed, which flows left their defaults meanwhile.
+func TestExchangeAfterPartition(t *testing.T) {
+	for _, without := range []bool{false, true} {
+		p := newPair(t, Limits{ablation: ablation{noExceptions: without}})
+		packets := p.flows(200)
+		p.installOwner(func(s *common.Snapshot) { s.Members[1].State = common.MemberDead })
+		p.installNext(killOwner)
+		endpoints := make([]common.EndpointID, len(packets))
+		for i, first := range packets {
+			packet := *first
+			packet.Service = p.nextT.Match(serviceAddress)
+			endpoints[i] = p.next.Handle(p.nextT, &packet, p.now, true).Endpoint
+		}
+		p.now += 20 * time.Second
+		p.install(drainFirst)
+		p.now += time.Second
+		p.installOwner(func(s *common.Snapshot) { s.Members[1].State = common.MemberServing })
+		p.installNext(func(s *common.Snapshot) { s.Members[0].State = common.MemberServing })
+		for _, batch := range p.next.TakeReplication(p.nextT, p.now, &Budget{Bytes: 1 << 20, MaxBatchBytes: 1 << 20}) {
+			p.owner.AddReplication(p.ownerT, &batch, p.now)
+		}
+		moved := 0
+		for i, first := range packets {
+			packet := *first
+			packet.First, packet.Service = false, p.ownerT.Match(serviceAddress)
+			if p.owner.Handle(p.ownerT, &packet, p.now, true).Endpoint != endpoints[i] {
+				moved++
+			}
+		}
+		if without != (moved > 0) {
+			t.Errorf("without exceptions %v: %d flows moved", without, moved)
+		}
+	}
+}
+
+// Guards against a successor that restarted empty and is not told again.
+func TestRestartedSuccessorIsToldAgain(t *testing.T) {
+	p := newPair(t, Limits{})
+	packets, endpoints := p.open(200)
+	p.now += 3 * time.Second
+	p.install(drainFirst)
+	for range 20 {
+		p.replicate(true)
+	}
+	p.next, p.nextT = NewShard(0, Limits{MaxFlows: 1000}), nil
+	restarted := func(s *common.Snapshot) { s.Members[1].Incarnation = 2 }
+	p.installNext(func(s *common.Snapshot) { drainFirst(s); restarted(s) })
+	p.installOwner(restarted)
+	for range 20 {
+		p.replicate(true)
+	}
+	p.installNext(killOwner)
+	if moved := p.moved(packets, endpoints); moved > 0 {
+		t.Errorf("%d flows moved", moved)
+	}
+}
--- a/internal/decision/flow/shard.go
+++ b/internal/decision/flow/shard.go
@@ -208,11 +208,20 @@
 	case e.has(flagReset):
 		// A connection that goes on was not reset: the reset was a late packet
 		// of an earlier one.
-		e.flags &^= flagReset
-		s.enqueue(t, e)
+		s.resume(t, e)
 	}
 }
 
+// resume takes back that a flow was reset. If another instance owns the slot,
+// the flow was withdrawn there, whatever its default.
+func (s *Shard) resume(t *Tables, e *entry) {
+	e.flags &^= flagReset
+	if s.slot(e.hash).owner != t.self {
+		e.flags |= flagStale
+	}
+	s.enqueue(t, e)
+}
+
 // withdrawLost takes back the report of a reset flow in a slot that another
 // instance owns now, so that it does not keep a new connection on the endpoint.
 func (s *Shard) withdrawLost(t *Tables, e *entry) {
@@ -256,8 +265,7 @@
 		return s.reopen(t, p, e, now)
 	}
 	if e.has(flagReset) {
-		e.flags &^= flagReset
-		s.enqueue(t, e)
+		s.resume(t, e)
 	}
 	target.counters.repeats.Add(1)
 	e.seen = now
