Remove a second soak target

Merges left three recipes of the same name; the last one covers the properties of the controllers' decisions.

--- a/Makefile
+++ b/Makefile
@@ -38,10 +38,6 @@
 demo: build
 	scripts/demo.sh
 
-# The property tests with twenty times the cases. BURDOCK_SEED sets the seed.
-soak:
-	BURDOCK_SOAK=20 go test -count=1 -timeout 30m ./internal/decision/...
-
 # Compares the load policies on the users' workloads; writes CSV and plots.
 experiment: build
 	$(BIN)/policy-experiment -out out/experiment
