--- a/internal/decision/flow/replicate.go
+++ b/internal/decision/flow/replicate.go
@@ -19,14 +19,15 @@
 	// bytes.
 	defaultBatchBytes = 1100
 
-	// Estimated encoded sizes.
-	batchBytes     = 40
-	groupBytes     = 20
+	// Encoded sizes in a datagram that carries the batches of several shards. An
+	// estimate that is too high leaves most of a small budget unused.
+	batchBytes     = 10
+	groupBytes     = 11
 	hashBytes      = 8
-	baseBytes      = 12
-	endpointBytes  = 10
-	slotBytes      = 8
-	referenceBytes = 20
+	baseBytes      = 9
+	endpointBytes  = 4
+	slotBytes      = 6
+	referenceBytes = 14
 )
 
 // Budget bounds what one round of TakeReplication may send. Shards subtract
--- a/internal/propertytest/propertytest.go
+++ b/internal/propertytest/propertytest.go
@@ -22,10 +22,10 @@
 // Run checks the properties with the given number of cases.
 func Run(t *testing.T, cases int, add func(*gopter.Properties)) {
 	t.Helper()
-	seed := number(t, SeedVariable, DefaultSeed)
-	factor := number(t, SoakVariable, 1)
+	seed := Seed(t, DefaultSeed)
+	factor := Factor(t)
 	parameters := gopter.DefaultTestParametersWithSeed(seed)
-	parameters.MinSuccessfulTests = cases * int(factor)
+	parameters.MinSuccessfulTests = cases * factor
 	parameters.MaxShrinkCount = 50
 	properties := gopter.NewProperties(parameters)
 	add(properties)
@@ -34,6 +34,18 @@
 	}
 }
 
+// Seed returns the seed of the environment, else the standard one.
+func Seed(t *testing.T, standard int64) int64 {
+	t.Helper()
+	return number(t, SeedVariable, standard)
+}
+
+// Factor returns the multiple of the cases to run.
+func Factor(t *testing.T) int {
+	t.Helper()
+	return int(number(t, SoakVariable, 1))
+}
+
 func number(t *testing.T, variable string, standard int64) int64 {
 	t.Helper()
 	text := os.Getenv(variable)
