Bound the hand-over of a leaving instance and queue each batch once

Cause: after a change of the defaults new flows need reports all the time, so nothing pending was never true and a planned restart ran into the limits of 30 s and of the demo; entryd also returned a waiting batch each second and the controller queued each copy. Ruled out: a longer wait; the new owner asks the leaver for 6 s anyway. Now an instance reports for at most 4 s, leaves, and stays at least 6.5 s.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -160,14 +160,14 @@
 	c.core.mu.Unlock()
 	c.core.logger.Info("preparing_to_leave")
 	c.core.snapshotChanged()
-	c.replication.waitReported(reportLimit, idleBeforeLeaving)
+	c.replication.waitReported(0, reportLimit, idleBeforeLeaving)
 	c.core.mu.Lock()
 	c.core.machine.Leave(c.core.now())
 	c.core.mu.Unlock()
 	c.core.logger.Info("leaving")
 	c.core.snapshotChanged()
 	c.membership.announce()
-	c.replication.waitReported(handoverLimit, idleBeforeEnd)
+	c.replication.waitReported(relayTime, handoverLimit, idleBeforeEnd)
 }
 
 // Stop ends the controllers and waits for them.
--- a/internal/controller/replication.go
+++ b/internal/controller/replication.go
@@ -43,10 +43,14 @@
 	// pullTries is how often a peer is asked for the state of the slots.
 	pullTries = 2
 	// reportLimit bounds how long an instance that is to leave reports its
-	// exceptions while it still owns its slots.
-	reportLimit = 30 * time.Second
+	// exceptions while it still owns its slots. Flows opened later are covered
+	// by the new owner, which asks the leaver.
+	reportLimit = 4 * time.Second
+	// relayTime is how long a leaving instance stays at least: the new owner of a
+	// slot asks the former one for 6 s.
+	relayTime = 6500 * time.Millisecond
 	// handoverLimit bounds how long a leaving instance hands over the rest.
-	handoverLimit = 4 * time.Second
+	handoverLimit = 9 * time.Second
 )
 
 // replicationController moves exceptions between entryd and the peers.
@@ -132,7 +136,7 @@
 		if r.queues[target] == nil {
 			r.queues[target] = &replicationQueue{}
 		}
-		r.queues[target].batches = append(r.queues[target].batches, batch)
+		r.queues[target].add(batch)
 	}
 	r.mu.Lock()
 	r.looks++
@@ -200,6 +204,18 @@
 	}
 }
 
+// add queues a batch. entryd returns a batch again that has no acknowledgement for
+// a second; one that still waits here must not be sent twice, because the copies
+// use up the budget that delays it.
+func (q *replicationQueue) add(batch *entrypb.ReplicationBatch) {
+	queued := slices.ContainsFunc(q.batches, func(other *entrypb.ReplicationBatch) bool {
+		return other.GetSequence() == batch.GetSequence()
+	})
+	if !queued {
+		q.batches = append(q.batches, batch)
+	}
+}
+
 // pack returns as many batches from the front as fit into a datagram. entryd makes
 // one batch for each shard, so most of them are small.
 func (q *replicationQueue) pack(d *peerpb.Datagram, target uint32) *peerpb.Replication {
@@ -438,8 +454,10 @@
 }
 
 // waitReported waits until entryd has had no update left for the other instances
-// in the given number of looks in a row, or until the limit.
-func (r *replicationController) waitReported(limit time.Duration, looks uint64) {
+// in the given number of looks in a row, but no shorter than least and no longer
+// than the limit.
+func (r *replicationController) waitReported(least, limit time.Duration, looks uint64) {
+	earliest := r.now() + least
 	deadline := r.now() + limit
 	r.mu.Lock()
 	first := r.looks
@@ -450,7 +468,7 @@
 		idle := r.looks - max(r.lastPending, first)
 		peers := len(r.machine.Peers())
 		r.mu.Unlock()
-		if peers == 0 || idle >= looks {
+		if peers == 0 || (idle >= looks && r.now() >= earliest) {
 			return
 		}
 	}
@@ -462,5 +480,5 @@
 const idleBeforeLeaving = 3
 
 // idleBeforeEnd is the number of looks without pending updates before a leaving
-// instance ends: 2 s, in which the announcement also reaches the peers.
+// instance ends: 2 s.
 const idleBeforeEnd = 10
--- /dev/null
+++ b/internal/controller/replication_test.go
@@ -0,0 +1,21 @@
+package controller
+
+import (
+	"testing"
+
+	"burdockrelay.example/burdockrelay/proto/entrypb"
+)
+
+// Guards against copies of a waiting batch that use up the budget of control
+// bytes: with them a planned restart did not end its hand-over in time.
+func TestWaitingBatchIsQueuedOnce(t *testing.T) {
+	queue := &replicationQueue{}
+	for range 3 {
+		for sequence := uint64(1); sequence <= 2; sequence++ {
+			queue.add(&entrypb.ReplicationBatch{Sequence: sequence})
+		}
+	}
+	if len(queue.batches) != 2 {
+		t.Fatalf("%d batches are queued, want 2", len(queue.batches))
+	}
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -352,7 +352,8 @@
   send "controld-$i" TERM
   sleep 1
   spray DELETE "$i"
-  await_end "controld-$i" 11
+  # controld reports for at most 4 s, then hands over for at most 9 s.
+  await_end "controld-$i" 14
   send "entryd-$i" TERM
   await_end "entryd-$i" 4
   say "entry-$i has stopped"
