--- /dev/null
+++ b/internal/decision/flow/pull.go
@@ -0,0 +1,82 @@
+package flow
+
+import (
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/decision/lookup"
+)
+
+// CompactPull rewrites the bases of the merged answers of all shards to a pull:
+// the base that most of the joiner's slots have becomes the base of the service,
+// and only the other slots are listed. After a change of the defaults most slots
+// keep the same older base, and listing each of them took 12 KB.
+func CompactPull(t, future *Tables, joiner common.InstanceID, batch *common.ReplicationBatch) {
+	kept := slotTables(t, batch)
+	slots := pulledSlots(t, future, joiner)
+	var encoder slotBaseEncoder
+	batch.Bases = batch.Bases[:0]
+	batch.SlotBases = nil
+	for _, service := range t.sortedServices() {
+		id := service.service.ID
+		most := mostCommon(service, slots, kept)
+		batch.Bases = append(batch.Bases, most.Base())
+		for _, slot := range slots {
+			key := slotService{slot, id}
+			if table := baseOf(service, key, kept); !table.Same(most) {
+				batch.SlotBases = append(batch.SlotBases, encoder.encode(key, table))
+			}
+		}
+	}
+}
+
+// slotTables returns the tables of the listed slot bases.
+func slotTables(t *Tables, batch *common.ReplicationBatch) map[slotService]*lookup.Table {
+	tables := make(map[slotService]*lookup.Table, len(batch.SlotBases))
+	known := make(map[uint32]*lookup.Table)
+	for i := range batch.SlotBases {
+		listed := &batch.SlotBases[i]
+		var table *lookup.Table
+		if len(listed.Base.Eligible) == 0 && len(listed.Base.Weights) == 1 {
+			table = known[listed.Base.Weights[0]]
+		} else {
+			table = t.tableOf(&listed.Base)
+			known[table.ID()] = table
+		}
+		if table != nil {
+			tables[slotService{listed.Slot, listed.Base.Service}] = table
+		}
+	}
+	return tables
+}
+
+// pulledSlots returns the slots that this instance owns and the joiner will own.
+func pulledSlots(t, future *Tables, joiner common.InstanceID) []uint16 {
+	var slots []uint16
+	for slot := range uint16(common.Slots) {
+		owner, _ := t.owners.Owner(slot)
+		next, _ := future.owners.Owner(slot)
+		if owner == t.self && next == joiner {
+			slots = append(slots, slot)
+		}
+	}
+	return slots
+}
+
+func baseOf(service *ServiceTables, key slotService, kept map[slotService]*lookup.Table) *lookup.Table {
+	if table := kept[key]; table != nil {
+		return table
+	}
+	return service.table
+}
+
+func mostCommon(service *ServiceTables, slots []uint16, kept map[slotService]*lookup.Table) *lookup.Table {
+	most := service.table
+	counts := make(map[uint32]int)
+	for _, slot := range slots {
+		table := baseOf(service, slotService{slot, service.service.ID}, kept)
+		counts[table.ID()]++
+		if counts[table.ID()] > counts[most.ID()] {
+			most = table
+		}
+	}
+	return most
+}
--- /dev/null
+++ b/internal/decision/flow/pull_test.go
@@ -0,0 +1,64 @@
+package flow
+
+import (
+	"testing"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/decision/lookup"
+)
+
+// pullBases returns the base of each of the joiner's slots that an answer to a
+// pull gives.
+func pullBases(t *testing.T, tables *Tables, service common.ServiceID, slots []uint16, batch *common.ReplicationBatch) map[uint16]uint32 {
+	t.Helper()
+	kept := slotTables(tables, batch)
+	bases := make(map[uint16]uint32)
+	for _, slot := range slots {
+		if table := kept[slotService{slot, service}]; table != nil {
+			bases[slot] = table.ID()
+			continue
+		}
+		bases[slot] = tables.tableOf(&batch.Bases[0]).ID()
+	}
+	return bases
+}
+
+// Guards against a compact answer to a pull that gives a slot another base: its
+// silent flows would go to the wrong endpoint.
+func TestCompactPullKeepsTheBaseOfEverySlot(t *testing.T) {
+	snapshot := testSnapshot(6, 3)
+	future := mustTables(t, snapshot, nil)
+	present := *snapshot
+	present.Members = present.Members[:2]
+	tables := mustTables(t, &present, nil)
+	joiner := snapshot.Members[2].ID
+	slots := pulledSlots(tables, future, joiner)
+	if len(slots) < 1000 {
+		t.Fatalf("the joiner gets %d slots", len(slots))
+	}
+	service := snapshot.Services[0].ID
+	older := lookup.NewSet(service, []common.EndpointID{1, 2, 3}, []uint32{1, 1, 1})
+	oldest := lookup.NewSet(service, []common.EndpointID{1, 2}, []uint32{1, 1})
+	batch := common.ReplicationBatch{Bases: []common.ServiceBase{tables.services[service].table.Base()}}
+	var encoder slotBaseEncoder
+	for i, slot := range slots {
+		switch {
+		case i%10 == 0:
+		case i%10 == 1:
+			batch.SlotBases = append(batch.SlotBases, encoder.encode(slotService{slot, service}, oldest))
+		default:
+			batch.SlotBases = append(batch.SlotBases, encoder.encode(slotService{slot, service}, older))
+		}
+	}
+	before, listed := pullBases(t, tables, service, slots, &batch), len(batch.SlotBases)
+	CompactPull(tables, future, joiner, &batch)
+	after := pullBases(t, tables, service, slots, &batch)
+	for _, slot := range slots {
+		if before[slot] != after[slot] {
+			t.Fatalf("slot %d: base %d became %d", slot, before[slot], after[slot])
+		}
+	}
+	if len(batch.SlotBases) > listed/3 {
+		t.Errorf("%d of %d slot bases are still listed", len(batch.SlotBases), listed)
+	}
+}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -174,6 +174,7 @@
 		part.mu.Unlock()
 		mergeBatch(&merged, &batch)
 	}
+	flow.CompactPull(current.tables, future, joiner, &merged)
 	return &entrypb.PullReplicationResponse{Batch: batchToProto(&merged)}, nil
 }
 
