--- a/internal/decision/flow/pull_test.go
+++ b/internal/decision/flow/pull_test.go
@@ -42,9 +42,9 @@
 	batch := common.ReplicationBatch{Bases: []common.ServiceBase{tables.services[service].table.Base()}}
 	var encoder slotBaseEncoder
 	for i, slot := range slots {
-		switch {
-		case i%10 == 0:
-		case i%10 == 1:
+		switch i % 10 {
+		case 0:
+		case 1:
 			batch.SlotBases = append(batch.SlotBases, encoder.encode(slotService{slot, service}, oldest))
 		default:
 			batch.SlotBases = append(batch.SlotBases, encoder.encode(slotService{slot, service}, older))
