Add deltas between releases

A whole body of 334,953 B for each change is more than the control budget. EncodeDelta lists what differs; ApplyDelta refuses another base, another form and another hash of the result, and repeats all checks.

--- /dev/null
+++ b/internal/config/delta.go
@@ -0,0 +1,354 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"reflect"
+	"slices"
+	"strings"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+)
+
+// maxDeltaBytes bounds a delta before it is decoded. A longer one saves little
+// against the whole body, which is compressed.
+const maxDeltaBytes = 2 * MaxBodyBytes
+
+// delta leads from one release to another. Its lists are sorted, so that two
+// releases have exactly one delta.
+type delta struct {
+	BaseNumber uint64 `json:"base_number"`
+	BaseHash   string `json:"base_hash"`
+	// Hash is the SHA-256 of the canonical content of the resulting release.
+	Hash         string                      `json:"hash"`
+	Number       uint64                      `json:"number"`
+	Author       string                      `json:"author"`
+	Note         string                      `json:"note,omitempty"`
+	CreatedAt    string                      `json:"created_at"`
+	NextService  common.ServiceID            `json:"next_service"`
+	NextEndpoint common.EndpointID           `json:"next_endpoint"`
+	Places       changes[Place]              `json:"places,omitzero"`
+	Policies     changes[Policy]             `json:"policies,omitzero"`
+	Services     changes[Service]            `json:"services,omitzero"`
+	BackendSets  setChanges                  `json:"backend_sets,omitzero"`
+	Rules        changes[Rule]               `json:"rules,omitzero"`
+	Quarantine   changes[QuarantinedAddress] `json:"quarantine,omitzero"`
+	// NewHistory comes before the first KeptHistory records of the base.
+	NewHistory  []ReleaseRecord `json:"new_history,omitempty"`
+	KeptHistory int             `json:"kept_history"`
+}
+
+// changes are the differences between two lists of objects sorted by key.
+type changes[T any] struct {
+	Removed []string `json:"removed,omitempty"`
+	// Put holds the added and the changed objects.
+	Put []T `json:"put,omitempty"`
+}
+
+// setChanges are the differences between the backend sets. A set is sent by the
+// endpoints that differ, since it may have a thousand.
+type setChanges struct {
+	Removed []string    `json:"removed,omitempty"`
+	Put     []setChange `json:"put,omitempty"`
+}
+
+type setChange struct {
+	Name      string            `json:"name"`
+	Endpoints changes[Endpoint] `json:"endpoints"`
+}
+
+func placeKey(p *Place) string                   { return p.Name }
+func policyKey(p *Policy) string                 { return p.Name }
+func serviceName(s *Service) string              { return s.Name }
+func setKey(s *BackendSet) string                { return s.Name }
+func setChangeKey(s *setChange) string           { return s.Name }
+func endpointName(e *Endpoint) string            { return e.Name }
+func ruleKey(r *Rule) string                     { return r.Name }
+func quarantineKey(q *QuarantinedAddress) string { return q.Address }
+func textKey(s *string) string                   { return *s }
+
+// sharedEndpoints reports whether two lists are the same memory, as after
+// ApplyDelta.
+func sharedEndpoints(a, b []Endpoint) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+func deltaError(format string, args ...any) error {
+	return resultcode.Errorf(resultcode.ConfigSyntax, format, args...)
+}
+
+// EncodeDelta returns the delta that leads from base to target. The hashes are
+// those of the two releases; computing them again would take longer than the
+// comparison.
+func EncodeDelta(base *Release, baseHash string, target *Release, targetHash string) ([]byte, error) {
+	d := delta{
+		BaseNumber:   base.Number,
+		BaseHash:     baseHash,
+		Hash:         targetHash,
+		Number:       target.Number,
+		Author:       target.Author,
+		Note:         target.Note,
+		CreatedAt:    target.CreatedAt,
+		NextService:  target.NextService,
+		NextEndpoint: target.NextEndpoint,
+		Places:       changesBetween(base.Places, target.Places, placeKey),
+		Policies:     changesBetween(base.Policies, target.Policies, policyKey),
+		Services:     changesBetween(base.Services, target.Services, serviceName),
+		BackendSets:  setChangesBetween(base.BackendSets, target.BackendSets),
+		Rules:        changesBetween(base.Rules, target.Rules, ruleKey),
+		Quarantine:   changesBetween(base.Quarantine, target.Quarantine, quarantineKey),
+	}
+	d.NewHistory, d.KeptHistory = historyBetween(base.History, target.History)
+	encoded, err := json.Marshal(&d)
+	if err != nil {
+		return nil, deltaError("encode delta from release %d to %d: %w", base.Number, target.Number, err)
+	}
+	if len(encoded) > maxDeltaBytes {
+		return nil, resultcode.Errorf(resultcode.PublishTooLarge, "the delta has %d bytes, more than %d", len(encoded), maxDeltaBytes)
+	}
+	return encoded, nil
+}
+
+// walk merges two lists that are sorted by key. It calls visit once for each
+// key, with nil for the list that lacks it.
+func walk[A, B any](a []A, keyA func(*A) string, b []B, keyB func(*B) string, visit func(a *A, b *B)) {
+	i, j := 0, 0
+	for i < len(a) || j < len(b) {
+		order := 0
+		switch {
+		case i == len(a):
+			order = 1
+		case j == len(b):
+			order = -1
+		default:
+			order = strings.Compare(keyA(&a[i]), keyB(&b[j]))
+		}
+		switch {
+		case order < 0:
+			visit(&a[i], nil)
+			i++
+		case order > 0:
+			visit(nil, &b[j])
+			j++
+		default:
+			visit(&a[i], &b[j])
+			i++
+			j++
+		}
+	}
+}
+
+func changesBetween[T any](base, target []T, key func(*T) string) changes[T] {
+	var found changes[T]
+	walk(base, key, target, key, func(before, after *T) {
+		switch {
+		case after == nil:
+			found.Removed = append(found.Removed, key(before))
+		case before == nil || !reflect.DeepEqual(before, after):
+			found.Put = append(found.Put, *after)
+		}
+	})
+	return found
+}
+
+func setChangesBetween(base, target []BackendSet) setChanges {
+	var found setChanges
+	walk(base, setKey, target, setKey, func(before, after *BackendSet) {
+		if after == nil {
+			found.Removed = append(found.Removed, before.Name)
+			return
+		}
+		var old []Endpoint
+		if before != nil {
+			old = before.Endpoints
+		}
+		if before != nil && sharedEndpoints(old, after.Endpoints) {
+			return
+		}
+		endpoints := changesBetween(old, after.Endpoints, endpointName)
+		if before == nil || len(endpoints.Put)+len(endpoints.Removed) > 0 {
+			found.Put = append(found.Put, setChange{Name: after.Name, Endpoints: endpoints})
+		}
+	})
+	return found
+}
+
+// historyBetween returns the records that come before those of the base, and how
+// many of the base's records follow.
+func historyBetween(base, target []ReleaseRecord) ([]ReleaseRecord, int) {
+	for start := range target {
+		kept := len(target) - start
+		if kept <= len(base) && slices.Equal(target[start:], base[:kept]) {
+			return target[:start], kept
+		}
+	}
+	return target, 0
+}
+
+// ApplyDelta returns the release to which a delta leads, and its hash. It refuses
+// a delta on another base, one in another form than EncodeDelta writes, and one
+// whose result lacks the stated hash or fails a check of DecodeRelease. The
+// caller compares the hash with the one in the pointer. Parts that did not change
+// are shared with the base.
+func ApplyDelta(base *Release, baseHash string, encoded []byte) (*Release, string, error) {
+	d, err := decodeDelta(encoded)
+	if err != nil {
+		return nil, "", err
+	}
+	if d.BaseNumber != base.Number || d.BaseHash != baseHash {
+		return nil, "", resultcode.Errorf(resultcode.ReleaseHashMismatch, "the delta is on release %d with hash %s, not on release %d with hash %s",
+			d.BaseNumber, d.BaseHash, base.Number, baseHash)
+	}
+	release, err := d.apply(base)
+	if err != nil {
+		return nil, "", err
+	}
+	content, err := json.Marshal(release)
+	if err != nil {
+		return nil, "", deltaError("encode release %d: %w", release.Number, err)
+	}
+	if found := hashOf(content); found != d.Hash {
+		return nil, "", resultcode.Errorf(resultcode.ReleaseHashMismatch, "the delta states hash %s and leads to %s", d.Hash, found)
+	}
+	if err := release.validate(); err != nil {
+		return nil, "", err
+	}
+	return release, d.Hash, nil
+}
+
+func decodeDelta(encoded []byte) (*delta, error) {
+	if len(encoded) > maxDeltaBytes {
+		return nil, resultcode.Errorf(resultcode.PublishTooLarge, "the delta has %d bytes, more than %d", len(encoded), maxDeltaBytes)
+	}
+	d := &delta{}
+	if err := json.Unmarshal(encoded, d); err != nil {
+		return nil, deltaError("decode delta: %w", err)
+	}
+	// The comparison also finds unknown fields, which Unmarshal ignores.
+	canonical, err := json.Marshal(d)
+	if err != nil || !bytes.Equal(canonical, encoded) {
+		return nil, deltaError("the delta to release %d is not in canonical form", d.Number)
+	}
+	return d, nil
+}
+
+func (d *delta) apply(base *Release) (*Release, error) {
+	release := &Release{
+		Number:       d.Number,
+		Author:       d.Author,
+		Note:         d.Note,
+		CreatedAt:    d.CreatedAt,
+		NextService:  d.NextService,
+		NextEndpoint: d.NextEndpoint,
+	}
+	var err error
+	if release.Places, err = d.Places.apply(base.Places, placeKey); err != nil {
+		return nil, err
+	}
+	if release.Policies, err = d.Policies.apply(base.Policies, policyKey); err != nil {
+		return nil, err
+	}
+	if release.Services, err = d.Services.apply(base.Services, serviceName); err != nil {
+		return nil, err
+	}
+	if release.BackendSets, err = d.BackendSets.apply(base.BackendSets); err != nil {
+		return nil, err
+	}
+	if release.Rules, err = d.Rules.apply(base.Rules, ruleKey); err != nil {
+		return nil, err
+	}
+	if release.Quarantine, err = d.Quarantine.apply(base.Quarantine, quarantineKey); err != nil {
+		return nil, err
+	}
+	if d.KeptHistory < 0 || d.KeptHistory > len(base.History) {
+		return nil, deltaError("the delta keeps %d of %d releases in the history", d.KeptHistory, len(base.History))
+	}
+	// The canonical form of a release without history is an empty list, not null.
+	release.History = make([]ReleaseRecord, 0, len(d.NewHistory)+d.KeptHistory)
+	release.History = append(release.History, d.NewHistory...)
+	release.History = append(release.History, base.History[:d.KeptHistory]...)
+	return release, nil
+}
+
+// ascending reports whether the keys are strictly sorted.
+func ascending[T any](list []T, key func(*T) string) bool {
+	for i := 1; i < len(list); i++ {
+		if key(&list[i-1]) >= key(&list[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// apply returns the changed list, or the base's own list when nothing changed.
+func (c *changes[T]) apply(base []T, key func(*T) string) ([]T, error) {
+	if len(c.Removed)+len(c.Put) == 0 {
+		return base, nil
+	}
+	return applyChanges(base, key, c.Removed, c.Put, key, func(before, after *T) (T, error) {
+		if before != nil && reflect.DeepEqual(before, after) {
+			return *after, deltaError("the delta puts the unchanged object %s", key(after))
+		}
+		return *after, nil
+	})
+}
+
+func (c *setChanges) apply(base []BackendSet) ([]BackendSet, error) {
+	if len(c.Removed)+len(c.Put) == 0 {
+		return base, nil
+	}
+	return applyChanges(base, setKey, c.Removed, c.Put, setChangeKey, func(before *BackendSet, change *setChange) (BackendSet, error) {
+		set := BackendSet{Name: change.Name, Endpoints: []Endpoint{}}
+		if before != nil {
+			set.Endpoints = before.Endpoints
+		}
+		if len(change.Endpoints.Removed)+len(change.Endpoints.Put) == 0 {
+			return set, deltaError("the delta puts the unchanged backend set %s", change.Name)
+		}
+		var err error
+		set.Endpoints, err = change.Endpoints.apply(set.Endpoints, endpointName)
+		return set, err
+	})
+}
+
+// applyChanges builds a list from the base's objects that stay and the result of
+// merge for each put.
+func applyChanges[T, P any](base []T, key func(*T) string, removed []string, put []P, putKey func(*P) string,
+	merge func(before *T, change *P) (T, error),
+) ([]T, error) {
+	if !ascending(removed, textKey) || !ascending(put, putKey) {
+		return nil, deltaError("the changes of the delta are not sorted")
+	}
+	kept := make([]*T, 0, len(base))
+	var failure error
+	walk(base, key, removed, textKey, func(object *T, name *string) {
+		switch {
+		case object == nil:
+			failure = deltaError("the delta removes %s, which is not in the base", *name)
+		case name == nil:
+			kept = append(kept, object)
+		default:
+			if _, again := slices.BinarySearchFunc(put, *name, func(p P, name string) int { return strings.Compare(putKey(&p), name) }); again {
+				failure = deltaError("the delta removes and puts %s", *name)
+			}
+		}
+	})
+	result := make([]T, 0, len(kept)+len(put))
+	walk(kept, func(object **T) string { return key(*object) }, put, putKey, func(object **T, change *P) {
+		if change == nil {
+			result = append(result, **object)
+			return
+		}
+		var before *T
+		if object != nil {
+			before = *object
+		}
+		merged, err := merge(before, change)
+		if err != nil {
+			failure = err
+		}
+		result = append(result, merged)
+	})
+	return result, failure
+}
--- a/internal/config/scale_test.go
+++ b/internal/config/scale_test.go
@@ -1,8 +1,11 @@
 package config
 
 import (
+	"bytes"
+	"compress/gzip"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -117,6 +120,85 @@
 	}
 }
 
+// deltaAtScale returns a release of the target scale with a full history, the
+// one after it, in which one endpoint has another address,
+// and their delta.
+func deltaAtScale(tb testing.TB) (base, target *Release, encoded []byte) {
+	tb.Helper()
+	configuration, faults := Parse([]File{{Name: "scale.yaml", Content: []byte(targetScale(1, 1_900, 14_000))}})
+	if len(faults) > 0 {
+		tb.Fatal(faults)
+	}
+	build := func(previous *Release) *Release {
+		release, faults := BuildRelease(configuration, previous, ReleaseInfo{Author: "operator", CreatedAt: testTime})
+		if len(faults) > 0 {
+			tb.Fatal(faults)
+		}
+		return release
+	}
+	first := build(nil)
+	first.Number = MaxHistory + 1
+	first.History = longHistory()
+	configuration.BackendSets[700].Endpoints[3].Weight++
+	base = build(first)
+	configuration.BackendSets[900].Endpoints[3].Address = netip.MustParseAddrPort("10.250.1.1:6081")
+	target = build(base)
+	encoded, err := EncodeDelta(base, base.Hash(), target, target.Hash())
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return base, target, encoded
+}
+
+// Guards against a delta of one endpoint that grows with the release: at 4,800
+// changes a day it has to fit into 4 KB a second of control traffic with all
+// else.
+func TestDeltaOfOneEndpointIsSmall(t *testing.T) {
+	t.Parallel()
+	base, target, encoded := deltaAtScale(t)
+	if err := sameAsDecoded(base, target, encoded); err != nil {
+		t.Fatal(err)
+	}
+	var compressed bytes.Buffer
+	writer := gzip.NewWriter(&compressed)
+	if _, err := writer.Write(encoded); err != nil {
+		t.Fatal(err)
+	}
+	if err := writer.Close(); err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("delta of one endpoint: %d bytes, %d with gzip", len(encoded), compressed.Len())
+	if len(encoded) > 2_000 {
+		t.Fatalf("the delta of one endpoint has %d bytes", len(encoded))
+	}
+}
+
+// BenchmarkApplyDelta measures what an instance does for a change of one
+// endpoint at the target scale when it has the release before.
+func BenchmarkApplyDelta(b *testing.B) {
+	base, _, encoded := deltaAtScale(b)
+	hash := base.Hash()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, _, err := ApplyDelta(base, hash, encoded); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkEncodeDelta measures what a watcher does once for each pair of
+// releases.
+func BenchmarkEncodeDelta(b *testing.B) {
+	base, target, _ := deltaAtScale(b)
+	baseHash, targetHash := base.Hash(), target.Hash()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := EncodeDelta(base, baseHash, target, targetHash); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 // BenchmarkParse measures what a publication at the target scale takes.
 func BenchmarkParse(b *testing.B) {
 	files := []File{{Name: "scale.yaml", Content: []byte(targetScale(1, 1_900, 14_000))}}
