--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -69,7 +69,7 @@
 func textKey(s *string) string                   { return *s }
 
 // sharedEndpoints reports whether two lists are the same memory, as after
-// ApplyDelta.
+// Base.Apply.
 func sharedEndpoints(a, b []Endpoint) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
@@ -186,37 +186,6 @@
 	return target, 0
 }
 
-// ApplyDelta returns the release to which a delta leads, and its hash. It refuses
-// a delta on another base, one in another form than EncodeDelta writes, and one
-// whose result lacks the stated hash or fails a check of DecodeRelease. The
-// caller compares the hash with the one in the pointer. Parts that did not change
-// are shared with the base.
-func ApplyDelta(base *Release, baseHash string, encoded []byte) (*Release, string, error) {
-	d, err := decodeDelta(encoded)
-	if err != nil {
-		return nil, "", err
-	}
-	if d.BaseNumber != base.Number || d.BaseHash != baseHash {
-		return nil, "", resultcode.Errorf(resultcode.ReleaseHashMismatch, "the delta is on release %d with hash %s, not on release %d with hash %s",
-			d.BaseNumber, d.BaseHash, base.Number, baseHash)
-	}
-	release, err := d.apply(base)
-	if err != nil {
-		return nil, "", err
-	}
-	content, err := json.Marshal(release)
-	if err != nil {
-		return nil, "", deltaError("encode release %d: %w", release.Number, err)
-	}
-	if found := hashOf(content); found != d.Hash {
-		return nil, "", resultcode.Errorf(resultcode.ReleaseHashMismatch, "the delta states hash %s and leads to %s", d.Hash, found)
-	}
-	if err := release.validate(); err != nil {
-		return nil, "", err
-	}
-	return release, d.Hash, nil
-}
-
 func decodeDelta(encoded []byte) (*delta, error) {
 	if len(encoded) > maxDeltaBytes {
 		return nil, resultcode.Errorf(resultcode.PublishTooLarge, "the delta has %d bytes, more than %d", len(encoded), maxDeltaBytes)
--- a/internal/config/delta_test.go
+++ b/internal/config/delta_test.go
@@ -39,7 +39,7 @@
 						continue
 					}
 					others++
-					if _, _, err := ApplyDelta(other, other.Hash(), encoded); err == nil {
+					if _, _, err := applyDelta(other, other.Hash(), encoded); err == nil {
 						return false, fmt.Errorf("the delta from release %d to %d was accepted on release %d", base.Number, target.Number, other.Number)
 					}
 				}
@@ -50,6 +50,14 @@
 	t.Logf("%d pairs, %d other bases", pairs, others)
 }
 
+func applyDelta(base *Release, hash string, encoded []byte) (*Release, string, error) {
+	applied, err := NewBase(base, hash).Apply(encoded)
+	if err != nil {
+		return nil, "", err
+	}
+	return applied.Release(), applied.Hash(), nil
+}
+
 func sameAsDecoded(base, target *Release, encoded []byte) error {
 	body, hash, err := target.Encode()
 	if err != nil {
@@ -59,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	applied, stated, err := ApplyDelta(base, base.Hash(), encoded)
+	applied, stated, err := applyDelta(base, base.Hash(), encoded)
 	if err != nil {
 		return err
 	}
@@ -73,6 +81,32 @@
 	return nil
 }
 
+// Guards against kept encoded objects that go wrong after several deltas, which
+// would refuse every later one.
+func TestPropertyDeltasFollowEachOther(t *testing.T) {
+	t.Parallel()
+	runProperty(t, "apply(apply(a, delta(a, b)), delta(b, c)) == c", 60, prop.ForAll(func(choice []uint8) (bool, error) {
+		h, err := publishAll(choice, func(*history, *Release) error { return nil })
+		if err != nil || len(h.releases) == 0 {
+			return false, fmt.Errorf("no releases: %w", err)
+		}
+		base := NewBase(h.releases[0], h.releases[0].Hash())
+		for _, target := range h.releases[1:] {
+			encoded, err := EncodeDelta(base.Release(), base.Hash(), target, target.Hash())
+			if err != nil {
+				return false, err
+			}
+			if base, err = base.Apply(encoded); err != nil {
+				return false, err
+			}
+			if !reflect.DeepEqual(base.Release(), target) || base.Hash() != target.Hash() {
+				return false, fmt.Errorf("release %d differs", target.Number)
+			}
+		}
+		return true, nil
+	}, anyChoices(600)))
+}
+
 // Guards against a delta that is accepted after damage in transfer. The byte
 // changes, or a byte is removed or repeated.
 func TestPropertyChangedDeltaIsRefused(t *testing.T) {
@@ -97,7 +131,7 @@
 		default:
 			changed = append(changed[:position+1], encoded[position:]...)
 		}
-		if _, _, err := ApplyDelta(base, base.Hash(), changed); err == nil {
+		if _, _, err := applyDelta(base, base.Hash(), changed); err == nil {
 			return false, fmt.Errorf("accepted: %s", changed)
 		}
 		return true, nil
@@ -147,7 +181,7 @@
 		{"nothing", "", resultcode.ConfigSyntax},
 		{"too long", strings.Repeat(" ", maxDeltaBytes+1), resultcode.PublishTooLarge},
 	}
-	if _, _, err := ApplyDelta(base, base.Hash(), []byte(valid)); err != nil {
+	if _, _, err := applyDelta(base, base.Hash(), []byte(valid)); err != nil {
 		t.Fatal(err)
 	}
 	for _, test := range tests {
@@ -155,7 +189,7 @@
 			if test.delta == valid {
 				t.Fatal("the case does not change the delta")
 			}
-			_, _, err := ApplyDelta(base, base.Hash(), []byte(test.delta))
+			_, _, err := applyDelta(base, base.Hash(), []byte(test.delta))
 			if code, ok := resultcode.Of(err); err == nil || !ok || code != test.code {
 				t.Fatalf("got %v, expected code %d", err, test.code)
 			}
@@ -193,7 +227,7 @@
 	}
 	f.Add([]byte("{}"))
 	f.Fuzz(func(t *testing.T, encoded []byte) {
-		release, hash, err := ApplyDelta(base, baseHash, encoded)
+		release, hash, err := applyDelta(base, baseHash, encoded)
 		if err != nil {
 			if _, ok := resultcode.Of(err); !ok {
 				t.Fatalf("no result code: %v", err)
--- a/internal/config/encode.go
+++ b/internal/config/encode.go
@@ -217,16 +217,43 @@
 	if len(r.Quarantine) > MaxQuarantine {
 		return resultcode.Errorf(resultcode.CheckLimit, "release %d: %d addresses in quarantine", r.Number, len(r.Quarantine))
 	}
-	uses := r.uses()
 	before := ""
 	for _, entry := range r.Quarantine {
 		if entry.Address <= before || entry.Since > r.Number || entry.Service == "" {
 			return resultcode.Errorf(resultcode.ConfigOutOfRange, "release %d: quarantine of %q is not valid", r.Number, entry.Address)
 		}
-		if _, ok := uses[entry.Address]; ok {
-			return resultcode.Errorf(resultcode.CheckAddressQuarantined, "release %d uses %s, which is in quarantine", r.Number, entry.Address)
-		}
 		before = entry.Address
 	}
+	if address, used := r.usedQuarantine(); used {
+		return resultcode.Errorf(resultcode.CheckAddressQuarantined, "release %d uses %s, which is in quarantine", r.Number, address)
+	}
 	return nil
 }
+
+// usedQuarantine returns an address that is in quarantine and in use. It builds
+// no text for each address in use, which took a fifth of the checks.
+func (r *Release) usedQuarantine() (string, bool) {
+	if len(r.Quarantine) == 0 {
+		return "", false
+	}
+	quarantined := make(map[string]struct{}, len(r.Quarantine))
+	for i := range r.Quarantine {
+		quarantined[r.Quarantine[i].Address] = struct{}{}
+	}
+	var key []byte
+	for i := range r.Services {
+		key = appendServiceKey(key[:0], &r.Services[i])
+		if _, found := quarantined[string(key)]; found {
+			return string(key), true
+		}
+	}
+	for i := range r.BackendSets {
+		for j := range r.BackendSets[i].Endpoints {
+			key = appendEndpointKey(key[:0], &r.BackendSets[i].Endpoints[j])
+			if _, found := quarantined[string(key)]; found {
+				return string(key), true
+			}
+		}
+	}
+	return "", false
+}
--- a/internal/config/release.go
+++ b/internal/config/release.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -201,12 +202,18 @@
 	return copied
 }
 
-func serviceKey(service *Service) string {
-	return fmt.Sprintf("%s/%s:%d", service.Protocol, service.Address, service.Port)
+func serviceKey(service *Service) string { return string(appendServiceKey(nil, service)) }
+
+func appendServiceKey(key []byte, service *Service) []byte {
+	key = append(key, service.Protocol...)
+	key = service.Address.AppendTo(append(key, '/'))
+	return strconv.AppendUint(append(key, ':'), uint64(service.Port), 10)
 }
 
-func endpointKey(endpoint *Endpoint) string {
-	return "endpoint/" + endpoint.Address.String()
+func endpointKey(endpoint *Endpoint) string { return string(appendEndpointKey(nil, endpoint)) }
+
+func appendEndpointKey(key []byte, endpoint *Endpoint) []byte {
+	return endpoint.Address.AppendTo(append(key, "endpoint/"...))
 }
 
 // serviceOfSets returns the service that each backend set serves.
--- a/internal/config/scale_test.go
+++ b/internal/config/scale_test.go
@@ -176,11 +176,15 @@
 // BenchmarkApplyDelta measures what an instance does for a change of one
 // endpoint at the target scale when it has the release before.
 func BenchmarkApplyDelta(b *testing.B) {
-	base, _, encoded := deltaAtScale(b)
-	hash := base.Hash()
+	release, _, encoded := deltaAtScale(b)
+	base := NewBase(release, release.Hash())
+	// The first delta after a whole body also encodes all objects.
+	if _, err := base.Apply(encoded); err != nil {
+		b.Fatal(err)
+	}
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, _, err := ApplyDelta(base, hash, encoded); err != nil {
+		if _, err := base.Apply(encoded); err != nil {
 			b.Fatal(err)
 		}
 	}
