Fetch releases from peers as deltas

FetchRelease carries the release that the asker holds; the answer is a delta when the peer has that release as well. A delta that cannot be applied leads to the whole body and is not acknowledged as a refusal.

Ruled out: comparing the delta with the compressed body before compression, since the answer is compressed. A watcher now announces a written release after it has loaded it, because an instance that asked earlier read the whole body from the platform, and a release that arrives twice is decoded once.

--- a/internal/controller/configuration.go
+++ b/internal/controller/configuration.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,7 +19,6 @@
 	"burdockrelay.example/burdockrelay/internal/platform"
 	"burdockrelay.example/burdockrelay/internal/resultcode"
 	"burdockrelay.example/burdockrelay/proto/entrypb"
-	"burdockrelay.example/burdockrelay/proto/peerpb"
 )
 
 const (
@@ -79,6 +79,9 @@
 	drains    *drainController
 	lastLog   time.Duration
 	refusedAt time.Duration
+	// loading admits one check of a release at a time, so that a release that
+	// arrives twice is decoded once.
+	loading sync.Mutex
 }
 
 // observeAccepted takes a pointer from the platform or a peer. The caller holds
@@ -249,11 +252,15 @@
 	}
 	c.mu.Lock()
 	inForce := c.tracker.InForce().Number
-	c.observePrepared(spec.ref())
 	c.mu.Unlock()
 	if spec.Number > inForce && spec.Number >= c.newest() {
 		c.load(spec.ref(), spec.Body)
 	}
+	// The release is announced once it is loaded: an instance that asked earlier
+	// would find no peer with it and read the whole body from the platform.
+	c.mu.Lock()
+	c.observePrepared(spec.ref())
+	c.mu.Unlock()
 	return &spec, true
 }
 
@@ -374,29 +381,32 @@
 	return true
 }
 
-func (c *configurationController) fromPeer(ctx context.Context, address netip.AddrPort, ref release.Ref) bool {
-	response, err := c.peers.FetchRelease(ctx, address, &peerpb.FetchReleaseRequest{Number: ref.Number, Prepared: true})
-	if err != nil {
-		c.logger.Debug("release_fetch_failed", zap.Uint64("release", ref.Number), zap.Error(err))
-		return false
+// load checks a body and records the acknowledgement.
+func (c *configurationController) load(ref release.Ref, body []byte) {
+	c.loading.Lock()
+	defer c.loading.Unlock()
+	if c.hasLoaded(ref) {
+		return
 	}
-	offered := release.Ref{Number: response.GetNumber(), Hash: response.GetHash(), Attempt: ref.Attempt}
-	if !offered.Matches(ref) {
-		return false
+	decoded, err := decodeBody(ref, body)
+	loaded := &loadedRelease{ref: ref, body: body, release: decoded}
+	if err == nil {
+		loaded.base = config.NewBase(decoded, ref.Hash)
+		err = c.verify(decoded)
 	}
-	c.load(offered, response.GetBody())
-	return true
+	c.loadedOrRefused(loaded, formBody, err)
 }
 
-// load checks a body and records the acknowledgement.
-func (c *configurationController) load(ref release.Ref, body []byte) {
+func (c *configurationController) hasLoaded(ref release.Ref) bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	known := c.loaded[ref.Number]
-	c.mu.Unlock()
-	if known != nil && known.ref.Matches(ref) {
-		return
-	}
-	decoded, err := decodeBody(ref, body)
+	return known != nil && known.ref.Matches(ref)
+}
+
+// loadedOrRefused records the result of a check and acknowledges it.
+func (c *configurationController) loadedOrRefused(loaded *loadedRelease, form string, err error) {
+	ref := loaded.ref
 	code := resultcode.OK
 	if err != nil {
 		code, _ = resultcode.Of(err)
@@ -407,8 +417,9 @@
 	}
 	c.mu.Lock()
 	if err == nil {
-		c.loaded[ref.Number] = &loadedRelease{ref: ref, body: body, release: decoded}
+		c.loaded[ref.Number] = loaded
 		c.dropOldReleases()
+		c.metrics.loads.WithLabelValues(form).Inc()
 	}
 	if err != nil {
 		c.refusedAt = c.now()
@@ -492,27 +503,6 @@
 // peerService answers the Peer service.
 type peerService struct{ *core }
 
-// FetchRelease returns a loaded release.
-func (p *peerService) FetchRelease(_ context.Context, request *peerpb.FetchReleaseRequest) (*peerpb.FetchReleaseResponse, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	accepted := p.tracker.Accepted().Number
-	number := request.GetNumber()
-	if number == 0 {
-		number = accepted
-	}
-	known := p.loaded[number]
-	if known == nil || (number > accepted && !request.GetPrepared()) {
-		return &peerpb.FetchReleaseResponse{}, nil
-	}
-	return &peerpb.FetchReleaseResponse{
-		Number:   known.ref.Number,
-		Hash:     known.ref.Hash,
-		Body:     known.body,
-		Accepted: number <= accepted,
-	}, nil
-}
-
 // PullReplication passes the request of a joining instance to entryd.
 func (p *peerService) PullReplication(ctx context.Context, request *entrypb.PullReplicationRequest) (*entrypb.PullReplicationResponse, error) {
 	return p.entry.PullReplication(ctx, request)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -98,6 +98,7 @@
 		acks:      map[common.InstanceID]release.Ack{},
 		inputs:    map[string]input{inputPlatform: {}, inputInstances: {}, inputEntry: {}, inputPeers: {}},
 		gossip:    newGossip(),
+		verify:    func(*config.Release) error { return nil },
 	}
 }
 
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -36,8 +36,16 @@
 // loadedRelease is a release that was fetched and checked here.
 type loadedRelease struct {
 	ref     release.Ref
-	body    []byte
 	release *config.Release
+	// base holds the release for deltas to later ones.
+	base *config.Base
+	// transferGuard guards the encoded forms below it, which take longer to make
+	// than mu may be held.
+	transferGuard sync.Mutex
+	// body is nil after a delta until a peer asks for it.
+	body []byte
+	// deltas holds the deltas to this release by the hash of their base.
+	deltas map[string][]byte
 }
 
 // input is the freshness of one source of information.
@@ -88,6 +96,10 @@
 	snapshotRelease uint64
 	// preparedSince is when the present prepared release was first seen.
 	preparedSince time.Duration
+
+	// verify is a further check of each release that was decoded. It is set
+	// before Start.
+	verify func(*config.Release) error
 }
 
 type controlMetrics struct {
@@ -97,6 +109,7 @@
 	rejoins  prometheus.Gauge
 	leaseErr prometheus.Counter
 	resends  prometheus.Counter
+	loads    *prometheus.CounterVec
 }
 
 func newControlMetrics(registry prometheus.Registerer) *controlMetrics {
@@ -107,9 +120,10 @@
 		rejoins:  prometheus.NewGauge(prometheus.GaugeOpts{Name: "burdock_control_rejoins", Help: "Times this instance went back to joining."}),
 		leaseErr: prometheus.NewCounter(prometheus.CounterOpts{Name: "burdock_control_lease_failures_total", Help: "Lease renewals that entryd did not answer or refused."}),
 		resends:  prometheus.NewCounter(prometheus.CounterOpts{Name: "burdock_control_replication_resends_total", Help: "Replication batches sent again."}),
+		loads:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "burdock_control_releases_loaded_total", Help: "Releases loaded, by form (body or delta)."}, []string{"form"}),
 	}
 	if registry != nil {
-		registry.MustRegister(m.release, m.members, m.settled, m.rejoins, m.leaseErr, m.resends)
+		registry.MustRegister(m.release, m.members, m.settled, m.rejoins, m.leaseErr, m.resends, m.loads)
 	}
 	return m
 }
--- /dev/null
+++ b/internal/controller/delta.go
@@ -0,0 +1,164 @@
+package controller
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"net/netip"
+
+	"go.uber.org/zap"
+
+	"burdockrelay.example/burdockrelay/internal/config"
+	"burdockrelay.example/burdockrelay/internal/decision/release"
+	"burdockrelay.example/burdockrelay/proto/peerpb"
+)
+
+// Forms in which a release arrives.
+const (
+	formBody  = "body"
+	formDelta = "delta"
+)
+
+// fromPeer asks a peer for a release, as a delta on the newest older release that
+// is loaded here. A delta that cannot be applied is no fault of the release, so
+// the whole body is fetched then.
+func (c *configurationController) fromPeer(ctx context.Context, address netip.AddrPort, ref release.Ref) bool {
+	base := c.baseFor(ref)
+	request := &peerpb.FetchReleaseRequest{Number: ref.Number, Prepared: true}
+	if base != nil {
+		request.BaseNumber = base.ref.Number
+		request.BaseHash = base.ref.Short().Hash
+	}
+	response, offered, ok := c.fetch(ctx, address, request, ref)
+	if !ok {
+		return false
+	}
+	if len(response.GetDelta()) > 0 {
+		if c.loadDelta(offered, base, response.GetDelta()) {
+			return true
+		}
+		request.BaseNumber, request.BaseHash = 0, ""
+		if response, offered, ok = c.fetch(ctx, address, request, ref); !ok {
+			return false
+		}
+	}
+	c.load(offered, response.GetBody())
+	return true
+}
+
+// fetch reports false when the peer does not have the release.
+func (c *configurationController) fetch(ctx context.Context, address netip.AddrPort, request *peerpb.FetchReleaseRequest, ref release.Ref) (*peerpb.FetchReleaseResponse, release.Ref, bool) {
+	response, err := c.peers.FetchRelease(ctx, address, request)
+	if err != nil {
+		c.logger.Debug("release_fetch_failed", zap.Uint64("release", ref.Number), zap.Error(err))
+		return nil, release.Ref{}, false
+	}
+	offered := release.Ref{Number: response.GetNumber(), Hash: response.GetHash(), Attempt: ref.Attempt}
+	return response, offered, offered.Matches(ref)
+}
+
+// baseFor returns the newest loaded release below a release, nil without one.
+func (c *configurationController) baseFor(ref release.Ref) *loadedRelease {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var newest *loadedRelease
+	for number, known := range c.loaded {
+		if number < ref.Number && (newest == nil || number > newest.ref.Number) {
+			newest = known
+		}
+	}
+	return newest
+}
+
+// loadDelta applies a delta and records the acknowledgement. It reports false
+// when the delta cannot be applied.
+func (c *configurationController) loadDelta(ref release.Ref, base *loadedRelease, delta []byte) bool {
+	if base == nil {
+		return false
+	}
+	c.loading.Lock()
+	defer c.loading.Unlock()
+	if c.hasLoaded(ref) {
+		return true
+	}
+	applied, err := base.base.Apply(delta)
+	if err != nil || applied.Hash() != ref.Hash || applied.Release().Number != ref.Number {
+		c.logger.Info("release_delta_not_applied", zap.Uint64("release", ref.Number), zap.Uint64("base", base.ref.Number), zap.Error(err))
+		return false
+	}
+	loaded := &loadedRelease{ref: ref, release: applied.Release(), base: applied}
+	c.loadedOrRefused(loaded, formDelta, c.verify(loaded.release))
+	return true
+}
+
+// FetchRelease returns a loaded release, as a delta when the asker's base is
+// loaded here as well.
+func (p *peerService) FetchRelease(_ context.Context, request *peerpb.FetchReleaseRequest) (*peerpb.FetchReleaseResponse, error) {
+	p.mu.Lock()
+	accepted := p.tracker.Accepted().Number
+	number := request.GetNumber()
+	if number == 0 {
+		number = accepted
+	}
+	known := p.loaded[number]
+	base := p.loaded[request.GetBaseNumber()]
+	p.mu.Unlock()
+	if known == nil || (number > accepted && !request.GetPrepared()) {
+		return &peerpb.FetchReleaseResponse{}, nil
+	}
+	response := &peerpb.FetchReleaseResponse{Number: known.ref.Number, Hash: known.ref.Hash, Accepted: number <= accepted}
+	asked := release.Ref{Number: request.GetBaseNumber(), Hash: request.GetBaseHash()}
+	if base != nil && base != known && base.ref.Matches(asked) {
+		response.Delta = known.deltaFrom(base)
+	}
+	if len(response.GetDelta()) > 0 {
+		return response, nil
+	}
+	body, err := known.wholeBody()
+	response.Body = body
+	return response, err
+}
+
+// deltaFrom returns the delta from a base, nil when the whole body is shorter.
+func (l *loadedRelease) deltaFrom(base *loadedRelease) []byte {
+	l.transferGuard.Lock()
+	defer l.transferGuard.Unlock()
+	if delta, found := l.deltas[base.ref.Hash]; found {
+		return delta
+	}
+	delta, err := config.EncodeDelta(base.release, base.ref.Hash, l.release, l.ref.Hash)
+	if err != nil || (l.body != nil && compressedLength(delta) >= len(l.body)) {
+		delta = nil
+	}
+	if l.deltas == nil {
+		l.deltas = map[string][]byte{}
+	}
+	l.deltas[base.ref.Hash] = delta
+	return delta
+}
+
+// compressedLength returns what a delta takes in an answer of the Peer service,
+// which is compressed as the body is.
+func compressedLength(delta []byte) int {
+	var buffer bytes.Buffer
+	writer := gzip.NewWriter(&buffer)
+	// A buffer takes every write.
+	_, _ = writer.Write(delta)
+	_ = writer.Close()
+	return buffer.Len()
+}
+
+// wholeBody returns the encoded release. After a delta it is made on the first
+// request, since most instances are never asked.
+func (l *loadedRelease) wholeBody() ([]byte, error) {
+	l.transferGuard.Lock()
+	defer l.transferGuard.Unlock()
+	if l.body == nil {
+		body, _, err := l.release.Encode()
+		if err != nil {
+			return nil, err
+		}
+		l.body = body
+	}
+	return l.body, nil
+}
