Make TestRefusedReleaseIsWithdrawn deterministic

Cause: the test replaced the result code of an acknowledgement by polling every millisecond, but the instance sends its acknowledgement as soon as it has loaded the release. When the poll came later the publisher saw OK from all and accepted.

The daemon now has a check function that the test sets before it starts, so the release is refused while it is loaded.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -42,6 +42,8 @@
 	first     int
 	addresses map[string]string
 	daemons   []*daemon
+	// verify holds further checks of releases by the number of the daemon.
+	verify map[int]func(*config.Release) error
 }
 
 var (
@@ -112,6 +114,9 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	if verify := c.verify[i]; verify != nil {
+		controller.core.verify = verify
+	}
 	controller.Start()
 	c.t.Cleanup(func() { _ = controller.Stop() })
 	d := &daemon{s.Instance, controller, entry}
@@ -454,30 +459,18 @@
 // refuses it.
 func TestRefusedReleaseIsWithdrawn(t *testing.T) {
 	t.Parallel()
+	const refusedAuthor = "refused"
 	c := newCluster(t)
+	c.verify = map[int]func(*config.Release) error{2: func(r *config.Release) error {
+		if r.Author == refusedAuthor {
+			return resultcode.Errorf(resultcode.ConfigSyntax, "release %d is refused by the test", r.Number)
+		}
+		return nil
+	}}
 	c.startAll(3)
 	first := c.mustPublish(c.daemons[0], "12")
 	eventually(t, 10*time.Second, "release everywhere", func() bool { return c.allHave(first) })
-	refuser := c.daemons[2].controller.core
-	stop := make(chan struct{})
-	var group sync.WaitGroup
-	group.Go(func() {
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(time.Millisecond):
-			}
-			refuser.mu.Lock()
-			if refuser.ownAck.Ref.Number > first {
-				refuser.ownAck.Code = resultcode.ConfigSyntax
-			}
-			refuser.mu.Unlock()
-		}
-	})
-	result := c.publish(c.daemons[0], "tester", "13")
-	close(stop)
-	group.Wait()
+	result := c.publish(c.daemons[0], refusedAuthor, "13")
 	if result.Code != resultcode.PublishRefused || len(result.RefusedBy) != 1 || result.RefusedBy[0] != "entry-2" {
 		t.Fatalf("result %+v", result)
 	}
--- a/internal/controller/fakes_test.go
+++ b/internal/controller/fakes_test.go
@@ -344,4 +344,6 @@
 	t.Fatalf("after %v still not: %s", limit, what)
 }
 
-func addressOf(i int) string { return fmt.Sprintf("127.0.0.%d", 11+i) }
+// addressOf returns a loopback address for each instance of all clusters of a run,
+// which has more than 255 when tests are repeated.
+func addressOf(i int) string { return fmt.Sprintf("127.0.%d.%d", i/200, 11+i%200) }
