Take the oldest release in force over all groups

Cause: with several groups the value was 0, so no address ever left quarantine and publications would be refused at 16,384 entries. Each group's watchers now store the lowest release that one of its instances may have in force, and a publication takes the minimum over the listed groups. A group that is cut off keeps its stored value.

Ruled out: the reports that the watchers renew every 3 s, because they vanish with the watcher and are dropped after 8 s.

--- a/internal/config/scale_test.go
+++ b/internal/config/scale_test.go
@@ -125,7 +125,7 @@
 // and their delta.
 func deltaAtScale(tb testing.TB) (base, target *Release, encoded []byte) {
 	tb.Helper()
-	configuration, faults := Parse([]File{{Name: "scale.yaml", Content: []byte(targetScale(1, 1_900, 14_000))}})
+	configuration, faults := Parse([]File{{Name: "scale.yaml", Content: []byte(targetScale(2, 1_900, 14_000))}})
 	if len(faults) > 0 {
 		tb.Fatal(faults)
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -39,6 +39,7 @@
 	replication   *replicationController
 	entry         *entryController
 	report        *reportController
+	group         *groupController
 	status        *statusController
 }
 
@@ -112,6 +113,7 @@
 	controller.health = newHealthController(c)
 	controller.entry = &entryController{core: c, epoch: uint64(time.Now().UnixNano())}
 	controller.report = &reportController{core: c}
+	controller.group = newGroupController(c)
 	controller.status = &statusController{c}
 	return controller
 }
@@ -132,6 +134,7 @@
 		c.replication.join,
 		c.entry.run,
 		c.report.run,
+		c.group.run,
 		func(ctx context.Context) error { return peer.Serve(ctx, c.listener, &peerService{c.core}) },
 	}
 	t.Go(func() error {
@@ -188,7 +191,11 @@
 }
 
 // OldestInForce returns the lowest release that an instance may have in force.
-func (c *Controller) OldestInForce() uint64 { return c.core.oldestInForce() }
+func (c *Controller) OldestInForce() uint64 {
+	ctx, cancel := context.WithTimeout(context.Background(), groupReadTimeout)
+	defer cancel()
+	return c.core.oldestInForce(ctx)
+}
 
 // Publish builds, writes and accepts a release.
 func (c *Controller) Publish(ctx context.Context, configuration *config.Configuration, base uint64, info config.ReleaseInfo) (admin.PublishResult, error) {
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -44,6 +45,12 @@
 	daemons   []*daemon
 	// verify holds further checks of releases by the number of the daemon.
 	verify map[int]func(*config.Release) error
+	// groups and fronts hold the group of daemons that are not in fukuoka, and the
+	// URL at which a group reaches the platform.
+	groups map[int]string
+	fronts map[string]string
+	// groupInterval replaces the interval between writes of a group.
+	groupInterval time.Duration
 }
 
 var (
@@ -95,16 +102,17 @@
 func (c *cluster) start(i int) *daemon {
 	c.t.Helper()
 	entry := newFakeEntry(c.t)
+	group := cmp.Or(c.groups[i], "fukuoka")
 	s := &settings.Control{
 		Instance:   fmt.Sprintf("entry-%d", i),
-		DataCentre: "fukuoka",
-		Group:      "fukuoka",
+		DataCentre: group,
+		Group:      group,
 		Places:     []string{"fukuoka"},
 		Address:    netip.MustParseAddr(addressOf(c.first + i)),
 		EntryPort:  6081,
 		PeerPort:   c.port,
 		EntryAPI:   netip.MustParseAddrPort(entry.server.Listener.Addr().String()),
-		Platform:   c.platform.server.URL,
+		Platform:   cmp.Or(c.fronts[group], c.platform.server.URL),
 	}
 	logger := zap.NewNop()
 	if os.Getenv("BURDOCK_TEST_LOG") != "" {
@@ -117,6 +125,9 @@
 	if verify := c.verify[i]; verify != nil {
 		controller.core.verify = verify
 	}
+	if c.groupInterval > 0 {
+		controller.group.interval = c.groupInterval
+	}
 	controller.Start()
 	c.t.Cleanup(func() { _ = controller.Stop() })
 	d := &daemon{s.Instance, controller, entry}
--- a/internal/controller/fakes_test.go
+++ b/internal/controller/fakes_test.go
@@ -215,6 +215,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.collections[platform.Instances] = map[string]*platform.Object{}
+	f.addInstances(group, addresses)
+}
+
+// addInstances adds the instances of a group to the list. The caller holds mu.
+func (f *fakePlatform) addInstances(group string, addresses map[string]string) {
 	for name, address := range addresses {
 		spec, _ := json.Marshal(instanceSpec{Address: address, DataCentre: group, Group: group})
 		f.put(platform.Instances, platform.Added, &platform.Object{
--- a/internal/controller/publication.go
+++ b/internal/controller/publication.go
@@ -102,7 +102,7 @@
 		return p.baseConflict(ctx, base), nil
 	}
 	info.Number = p.pointer.spec.Number + 1
-	info.OldestInForce = p.oldestInForce()
+	info.OldestInForce = p.oldestInForce(ctx)
 	built, faults := config.BuildRelease(c, previous, info)
 	if len(faults) > 0 {
 		return admin.PublishResult{Code: faults[0].Code, Message: "the check found faults", Faults: faults}, nil
@@ -348,6 +348,9 @@
 	groups := p.listedGroups()
 	for i := range list.Items {
 		object := &list.Items[i]
+		if object.Kind == groupKind {
+			continue
+		}
 		var report reportSpec
 		if err := json.Unmarshal(object.Spec, &report); err != nil {
 			p.logger.Warn("report_object", zap.String("name", object.Metadata.Name), zap.Error(err))
@@ -570,30 +573,6 @@
 	return fmt.Sprintf("instance %d", id)
 }
 
-// oldestInForce returns the lowest release that any instance of this group may
-// have in force, and 0 when one is unknown or other groups are listed, whose
-// state only their watchers know.
-func (c *core) oldestInForce() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	oldest := c.tracker.InForce().Number
-	for _, info := range c.list {
-		ack, found := c.ackOf(info.id)
-		if info.group != c.settings.Group || !found {
-			return 0
-		}
-		oldest = min(oldest, ack.InForce)
-	}
-	for _, update := range c.machine.Peers() {
-		ack, found := c.ackOf(update.ID)
-		if !found {
-			return 0
-		}
-		oldest = min(oldest, ack.InForce)
-	}
-	return oldest
-}
-
 // history lists accepted releases, newest first.
 func (p *publicationController) history(ctx context.Context, limit int) ([]*releaseRecord, error) {
 	list, err := p.platform.List(ctx, platform.Releases)
--- /dev/null
+++ b/internal/controller/quarantine.go
@@ -0,0 +1,206 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdockrelay.example/burdockrelay/internal/platform"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+)
+
+const (
+	// groupKind tells a group's object from the reports of its watchers, which are
+	// in the same collection.
+	groupKind = "GroupRelease"
+	// groupPrefix keeps the names apart from those of instances, which have no dot.
+	groupPrefix = "group."
+	// groupWriteInterval bounds the writes of a group: releases may follow each
+	// other every 18 s, and an address may stay in quarantine a minute longer.
+	groupWriteInterval = time.Minute
+	// groupChecks is how often in this interval the own group is looked at.
+	groupChecks = 12
+	// groupReadTimeout bounds the read of the other groups for a check or diff.
+	groupReadTimeout = 3 * time.Second
+)
+
+// groupSpec is the spec of a group's object in the collection acknowledgements.
+type groupSpec struct {
+	Group string `json:"group"`
+	// OldestInForce is the lowest release that any instance of the group may have
+	// in force. It never goes back, since an instance never does.
+	OldestInForce uint64 `json:"oldestInForce"`
+}
+
+// groupController stores the oldest release in force of the own group at the
+// platform while this instance is a watcher.
+type groupController struct {
+	*core
+	interval time.Duration
+	// stored and version are the object as last read or written here.
+	stored  uint64
+	version string
+	tried   bool
+	triedAt time.Duration
+}
+
+func newGroupController(c *core) *groupController {
+	return &groupController{core: c, interval: groupWriteInterval}
+}
+
+func (g *groupController) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, jitter(g.interval/groupChecks))
+		if g.isWatcher() {
+			g.check(ctx)
+		}
+	}
+	return nil
+}
+
+func (g *groupController) check(ctx context.Context) {
+	oldest := g.oldestInGroup()
+	if oldest <= g.stored || (g.tried && g.now()-g.triedAt < g.interval) {
+		return
+	}
+	g.tried = true
+	g.triedAt = g.now()
+	if err := g.store(ctx, oldest); err != nil {
+		g.logger.Debug("group_release_not_stored", zap.Uint64("release", oldest), zap.Error(err))
+	}
+}
+
+func (g *groupController) objectName() string { return groupPrefix + g.settings.Group }
+
+// store raises the value at the platform. When another watcher has written since
+// the last look, it has used this interval's write.
+func (g *groupController) store(ctx context.Context, oldest uint64) error {
+	known := g.version
+	if err := g.read(ctx); err != nil {
+		return err
+	}
+	if g.version != known || g.stored >= oldest {
+		return nil
+	}
+	object, err := platform.NewObject(groupKind, g.objectName(), g.version, groupSpec{Group: g.settings.Group, OldestInForce: oldest})
+	if err != nil {
+		return err
+	}
+	var written *platform.Object
+	if g.version == "" {
+		written, err = g.platform.Create(ctx, platform.Acknowledgements, object)
+	} else {
+		written, err = g.platform.Update(ctx, platform.Acknowledgements, object)
+	}
+	if code, _ := resultcode.Of(err); err != nil && code == resultcode.PlatformUncertain {
+		// The write may have taken effect.
+		return g.read(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	g.stored = oldest
+	g.version = written.Metadata.ResourceVersion
+	return nil
+}
+
+// read takes the object as it is at the platform; none stands for release 0.
+func (g *groupController) read(ctx context.Context) error {
+	object, err := g.platform.Get(ctx, platform.Acknowledgements, g.objectName())
+	if code, _ := resultcode.Of(err); err != nil && code == resultcode.PlatformNotFound {
+		g.stored, g.version = 0, ""
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var spec groupSpec
+	if err := json.Unmarshal(object.Spec, &spec); err != nil {
+		return resultcode.Errorf(resultcode.PlatformBadAnswer, "decode object of group %s: %w", g.settings.Group, err)
+	}
+	g.stored, g.version = spec.OldestInForce, object.Metadata.ResourceVersion
+	return nil
+}
+
+// oldestInGroup returns the lowest release that any instance of this group may
+// have in force, and 0 when one is unknown.
+func (c *core) oldestInGroup() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.listed {
+		return 0
+	}
+	oldest := c.tracker.InForce().Number
+	for _, info := range c.list {
+		if info.group != c.settings.Group {
+			continue
+		}
+		ack, found := c.ackOf(info.id)
+		if !found {
+			return 0
+		}
+		oldest = min(oldest, ack.InForce)
+	}
+	for _, update := range c.machine.Peers() {
+		ack, found := c.ackOf(update.ID)
+		if !found {
+			return 0
+		}
+		oldest = min(oldest, ack.InForce)
+	}
+	return oldest
+}
+
+// otherGroups returns the other groups that the instance list names.
+func (c *core) otherGroups() map[string]bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	groups := map[string]bool{}
+	for _, info := range c.list {
+		if info.group != c.settings.Group {
+			groups[info.group] = true
+		}
+	}
+	return groups
+}
+
+// oldestInForce returns the lowest release that any instance of the listed groups
+// may have in force, and 0 when that is unknown for one of them. A group that
+// cannot reach the platform keeps its stored value, so its addresses stay in
+// quarantine.
+func (c *core) oldestInForce(ctx context.Context) uint64 {
+	oldest := c.oldestInGroup()
+	groups := c.otherGroups()
+	if oldest == 0 || len(groups) == 0 {
+		return oldest
+	}
+	list, err := c.platform.List(ctx, platform.Acknowledgements)
+	if err != nil {
+		c.logger.Info("group_releases_not_read", zap.Error(err))
+		return 0
+	}
+	stored := c.storedOldest(list)
+	for group := range groups {
+		oldest = min(oldest, stored[group])
+	}
+	return oldest
+}
+
+func (c *core) storedOldest(list *platform.List) map[string]uint64 {
+	stored := map[string]uint64{}
+	for i := range list.Items {
+		object := &list.Items[i]
+		if object.Kind != groupKind {
+			continue
+		}
+		var spec groupSpec
+		if err := json.Unmarshal(object.Spec, &spec); err != nil {
+			c.logger.Warn("group_object", zap.String("name", object.Metadata.Name), zap.Error(err))
+			continue
+		}
+		stored[spec.Group] = spec.OldestInForce
+	}
+	return stored
+}
--- /dev/null
+++ b/internal/controller/quarantine_test.go
@@ -0,0 +1,214 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"burdockrelay.example/burdockrelay/internal/config"
+	"burdockrelay.example/burdockrelay/internal/platform"
+)
+
+// front is a group's way to the platform, which can be cut.
+type front struct {
+	platform *fakePlatform
+	cut      atomic.Bool
+	server   *httptest.Server
+}
+
+func newFront(t *testing.T, p *fakePlatform) *front {
+	t.Helper()
+	f := &front{platform: p}
+	f.server = httptest.NewServer(f)
+	t.Cleanup(func() {
+		f.server.CloseClientConnections()
+		f.server.Close()
+	})
+	return f
+}
+
+func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f.cut.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	f.platform.ServeHTTP(w, r)
+}
+
+func (f *front) setCut(cut bool) {
+	f.cut.Store(cut)
+	if cut {
+		f.server.CloseClientConnections()
+	}
+}
+
+const testGroupInterval = time.Second
+
+// startTwoGroups starts two instances in fukuoka and two in oita, which reaches
+// the platform through the front.
+func startTwoGroups(t *testing.T) (*cluster, *front) {
+	t.Helper()
+	c := newCluster(t)
+	oita := newFront(t, c.platform)
+	c.groups = map[int]string{2: "oita", 3: "oita"}
+	c.fronts = map[string]string{"oita": oita.server.URL}
+	c.groupInterval = testGroupInterval
+	addresses := map[string]map[string]string{"fukuoka": {}, "oita": {}}
+	for i := range 4 {
+		group := "fukuoka"
+		if i >= 2 {
+			group = "oita"
+		}
+		addresses[group][fmt.Sprintf("entry-%d", i)] = addressOf(c.first + i)
+	}
+	c.platform.setInstances("fukuoka", addresses["fukuoka"])
+	c.platform.mu.Lock()
+	c.platform.addInstances("oita", addresses["oita"])
+	c.platform.mu.Unlock()
+	for i := range 4 {
+		c.start(i)
+	}
+	return c, oita
+}
+
+// quarantined reports whether the newest release of the first instance holds the
+// address of crew-2 with a note in quarantine.
+func (c *cluster) quarantined(note string) bool {
+	release := c.daemons[0].controller.Accepted()
+	return slices.ContainsFunc(release.Quarantine, func(entry config.QuarantinedAddress) bool {
+		return entry.Address == "endpoint/10.1.0."+note+":6081"
+	})
+}
+
+func (c *cluster) publishEverywhere(publisher *daemon, daemons []*daemon, note string) uint64 {
+	c.t.Helper()
+	number := c.mustPublish(publisher, note)
+	eventually(c.t, 20*time.Second, fmt.Sprintf("release %d everywhere", number), func() bool {
+		for _, d := range daemons {
+			if d.entry.release() != number {
+				return false
+			}
+		}
+		return true
+	})
+	return number
+}
+
+// Guards against addresses that never leave quarantine when there are several
+// groups, and against addresses that leave it while a group that is cut off from
+// the platform still uses them (P2).
+func TestQuarantineWaitsForEveryGroup(t *testing.T) {
+	t.Parallel()
+	c, oita := startTwoGroups(t)
+	oldest := func() uint64 { return c.daemons[0].controller.OldestInForce() }
+	// The value is polled without calls of the platform, whose budget the daemon
+	// needs for publications.
+	bothHave := func(number uint64) bool {
+		return c.platform.storedGroup(t, "oita").OldestInForce == number && c.daemons[0].controller.core.oldestInGroup() == number
+	}
+	eventually(t, 20*time.Second, "instances known", func() bool { return len(c.daemons[0].controller.core.otherGroups()) == 1 })
+	c.publishEverywhere(c.daemons[0], c.daemons, "12")
+	second := c.publishEverywhere(c.daemons[0], c.daemons, "13")
+	if !c.quarantined("12") {
+		t.Fatal("the replaced address is not in quarantine")
+	}
+	eventually(t, 20*time.Second, "both groups have the second release", func() bool { return bothHave(second) })
+	third := c.publishEverywhere(c.daemons[0], c.daemons, "14")
+	if c.quarantined("12") || !c.quarantined("13") {
+		t.Fatalf("quarantine %v", c.daemons[0].controller.Accepted().Quarantine)
+	}
+	eventually(t, 20*time.Second, "both groups have the third release", func() bool { return bothHave(third) })
+	oita.setCut(true)
+	// Each publication waits until the lease of oita has run out and reads the
+	// acknowledgements twice a second, so one daemon's call budget is not enough.
+	c.publishEverywhere(c.daemons[1], c.daemons[:2], "15")
+	c.publishEverywhere(c.daemons[0], c.daemons[:2], "16")
+	for _, d := range c.daemons[2:] {
+		if release := d.entry.release(); release != third {
+			t.Fatalf("%s has release %d although it is cut off", d.name, release)
+		}
+	}
+	if oldest() != third || !c.quarantined("14") || !c.quarantined("15") || c.quarantined("13") {
+		t.Fatalf("oldest release in force %d, quarantine %v", oldest(), c.daemons[0].controller.Accepted().Quarantine)
+	}
+	oita.setCut(false)
+	newest := c.daemons[0].entry.release()
+	eventually(t, 30*time.Second, "the group that returned has the newest release", func() bool { return bothHave(newest) })
+	c.publishEverywhere(c.daemons[1], c.daemons, "17")
+	if c.quarantined("14") || c.quarantined("15") || !c.quarantined("16") {
+		t.Fatalf("quarantine %v", c.daemons[0].controller.Accepted().Quarantine)
+	}
+}
+
+// storedGroup returns the object of a group, empty when there is none.
+func (f *fakePlatform) storedGroup(t *testing.T, group string) groupSpec {
+	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	object, found := f.collections[platform.Acknowledgements][groupPrefix+group]
+	if !found {
+		return groupSpec{}
+	}
+	var spec groupSpec
+	if err := json.Unmarshal(object.Spec, &spec); err != nil {
+		t.Fatal(err)
+	}
+	return spec
+}
+
+// groupAt returns a controller with a release in force that runs no goroutine.
+func groupAt(t *testing.T, c *cluster, number uint64) *groupController {
+	t.Helper()
+	g := newGroupController(c.daemons[0].controller.core)
+	g.interval = time.Hour
+	if err := g.store(context.Background(), number); err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+// Guards against a write whose lost answer hides that it took effect, against a
+// value that goes back, and against several watchers that each write in the same
+// interval.
+func TestGroupReleaseIsStoredOnce(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	c.list(1)
+	c.groupInterval = time.Hour
+	c.start(0)
+	stored := func() uint64 {
+		return c.platform.storedGroup(t, "fukuoka").OldestInForce
+	}
+	first := groupAt(t, c, 5)
+	if stored() != 5 || first.stored != 5 {
+		t.Fatalf("stored %d", stored())
+	}
+	second := groupAt(t, c, 6)
+	if stored() != 5 || second.stored != 5 {
+		t.Fatalf("the second watcher wrote %d in the interval of the first", stored())
+	}
+	ctx := context.Background()
+	if err := first.store(ctx, 4); err != nil || stored() != 5 {
+		t.Fatalf("went back to %d: %v", stored(), err)
+	}
+	// The report of the watcher may take the lost answer, so it is kept away.
+	c.daemons[0].controller.core.tomb.Kill(nil)
+	_ = c.daemons[0].controller.core.tomb.Wait()
+	c.platform.mu.Lock()
+	c.platform.loseWrites = 1
+	c.platform.mu.Unlock()
+	if err := first.store(ctx, 7); err != nil || first.stored != 7 || stored() != 7 {
+		t.Fatalf("after a lost answer %d is stored and %d known: %v", stored(), first.stored, err)
+	}
+	if err := second.store(ctx, 8); err != nil || stored() != 7 {
+		t.Fatalf("the second watcher overwrote a change: %d stored, %v", stored(), err)
+	}
+	if err := second.store(ctx, 8); err != nil || stored() != 8 {
+		t.Fatalf("%d stored, %v", stored(), err)
+	}
+}
