--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"math"
 	"net/netip"
 	"time"
 
@@ -22,9 +21,10 @@
 	state    *state
 	action   flow.Action
 
-	// now and leaseValid are the same for all packets of a batch.
+	// now, leaseValid and orphaned are the same for all packets of a batch.
 	now        time.Duration
 	leaseValid bool
+	orphaned   bool
 
 	// out and to are what the last filters send.
 	out []byte
@@ -61,28 +61,45 @@
 		Fin:           x.decoded.Fin,
 		Reset:         x.decoded.ResetFlag,
 		PayloadLength: x.decoded.PayloadLength,
-		HopCount:      finalHopCount(x.decoded.Relay.HopCount),
+		HopCount:      x.decoded.Relay.HopCount,
+		Orphaned:      x.orphaned,
 	}
 	return true
 }
 
-// finalHopCount makes the shard handle a packet with the highest hop count
-// locally: the shard would send it on to the former owner of a slot, and section
-// 3.2 of docs/design.md forbids a second relay.
-func finalHopCount(hopCount uint8) uint8 {
-	if hopCount >= packet.MaxHopCount {
-		return math.MaxUint8
-	}
-	return hopCount
-}
+// recentServices is the size of the cache in front of the tables' services.
+const recentServices = 64
 
 // matchFilter finds the service of the packet's destination (P2).
-type matchFilter struct{}
+type matchFilter struct {
+	// state is the one that the cache holds services of.
+	state  *state
+	recent [recentServices]*flow.ServiceTables
+}
 
-func (matchFilter) apply(x *exchange) bool {
+func (f *matchFilter) apply(x *exchange) bool {
 	if x.state == nil {
 		return x.stop(resultcode.DroppedNoTables)
 	}
+	if f.state != x.state {
+		f.state = x.state
+		clear(f.recent[:])
+	}
+	tuple := &x.flow.Tuple
+	recent := &f.recent[(uint16(tuple.Destination[3])+tuple.DestinationPort)%recentServices]
+	if *recent != nil && (*recent).Service().Address == serviceAddress(tuple) {
+		x.flow.Service = *recent
+		return true
+	}
+	if !match(x) {
+		return false
+	}
+	*recent = x.flow.Service
+	return true
+}
+
+// match finds the service in the tables.
+func match(x *exchange) bool {
 	x.flow.Service = x.state.tables.Match(serviceAddress(&x.flow.Tuple))
 	if x.flow.Service == nil {
 		return x.stop(resultcode.PacketNoService)
@@ -118,8 +135,11 @@
 // rematch repeats the match with the tables that the shard has installed. They
 // differ from those of the batch while a snapshot is applied.
 func rematch(s *shard, x *exchange) bool {
+	if s.state == nil {
+		return x.stop(resultcode.DroppedNoTables)
+	}
 	x.state = s.state
-	return matchFilter{}.apply(x)
+	return match(x)
 }
 
 // invariantFilter stops actions that would break an invariant.
@@ -159,7 +179,7 @@
 
 func (f *invariantFilter) checkRelay(x *exchange) bool {
 	if x.decoded.Relay.HopCount >= packet.MaxHopCount {
-		f.metrics.violation(invariantSecondRelay)
+		f.metrics.violation(invariantHopLimit)
 		return x.stop(resultcode.RouteHopLimit)
 	}
 	return true
