--- a/internal/controller/fakes_test.go
+++ b/internal/controller/fakes_test.go
@@ -215,6 +215,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.collections[platform.Instances] = map[string]*platform.Object{}
+	f.addInstances(group, addresses)
+}
+
+// addInstances adds the instances of a group to the list. The caller holds mu.
+func (f *fakePlatform) addInstances(group string, addresses map[string]string) {
 	for name, address := range addresses {
 		spec, _ := json.Marshal(instanceSpec{Address: address, DataCentre: group, Group: group})
 		f.put(platform.Instances, platform.Added, &platform.Object{
@@ -344,4 +349,6 @@
 	t.Fatalf("after %v still not: %s", limit, what)
 }
 
-func addressOf(i int) string { return fmt.Sprintf("127.0.0.%d", 11+i) }
+// addressOf returns a loopback address for each instance of all clusters of a run,
+// which has more than 255 when tests are repeated.
+func addressOf(i int) string { return fmt.Sprintf("127.0.%d.%d", i/200, 11+i%200) }
