Let the former owner's report of a flow win over earlier owners'

Cause: an instance that lost a slot keeps its flows for two hand-overs and reports them again when the slot moves on. Ruled out: the model; all changes were planned and 4 s apart.

--- a/internal/decision/flow/entries.go
+++ b/internal/decision/flow/entries.go
@@ -53,6 +53,8 @@
 	// flagStale marks a flow that the target of its slot may hold with another
 	// endpoint.
 	flagStale
+	// flagFormer marks a flow as the former owner of its slot reported it.
+	flagFormer
 )
 
 const (
--- a/internal/decision/flow/packet.go
+++ b/internal/decision/flow/packet.go
@@ -87,6 +87,7 @@
 	expireHeld   bool // held flows expire although their owner lives
 	tableWins    bool // a table stays in use after the instance rejoined
 	lostReopens  bool // a former owner opens connections on known five-tuples
+	lastWins     bool // an earlier owner's report replaces the former owner's
 }
 
 // Stats holds the counters of one shard.
--- a/internal/decision/flow/receive.go
+++ b/internal/decision/flow/receive.go
@@ -209,7 +209,7 @@
 	e := s.table.findHash(hash)
 	switch {
 	case e == nil && owner == t.self:
-		s.addInherited(t, group, hash, now)
+		s.addInherited(t, from, group, hash, now)
 	case e == nil:
 		s.addNewHeld(from, group, hash, now)
 	case e.has(flagHeld):
@@ -219,10 +219,11 @@
 			e.seen = now
 		}
 	case owner == t.self:
-		if e.has(flagGuessed | flagNoTuple | closedFlags) {
+		if e.has(flagGuessed|flagNoTuple|closedFlags) && !s.outdated(from, e, now) {
 			s.move(t, e, group.Endpoint, group.Service)
 			e.flags &^= flagGuessed | closedFlags
 			e.seen = now
+			s.markFormer(from, e)
 		}
 	case owner == from && s.handlesStill(t, e, now):
 		// The new owner repeats what it was told before it took the slot over;
@@ -236,6 +237,22 @@
 	}
 }
 
+// outdated reports whether a report on a flow of an owned slot is older than
+// what this instance has from the slot's former owner. Earlier owners keep their
+// flows for two hand-overs and repeat them when the slot moves on.
+func (s *Shard) outdated(from common.InstanceID, e *entry, now time.Duration) bool {
+	state := s.slot(e.hash)
+	return e.has(flagFormer) && from != state.former && now-state.gained < 2*handover && !s.limits.ablation.lastWins
+}
+
+// markFormer notes whether the flow is as the former owner reported it.
+func (s *Shard) markFormer(from common.InstanceID, e *entry) {
+	e.flags &^= flagFormer
+	if from == s.slot(e.hash).former {
+		e.flags |= flagFormer
+	}
+}
+
 // handlesStill reports whether this instance may have seen newer packets of a
 // flow than the new owner of its slot.
 func (s *Shard) handlesStill(t *Tables, e *entry, now time.Duration) bool {
@@ -245,7 +262,7 @@
 	return now-s.slot(e.hash).lost < handover
 }
 
-func (s *Shard) addInherited(t *Tables, group *common.ExceptionGroup, hash common.FlowHash, now time.Duration) {
+func (s *Shard) addInherited(t *Tables, from common.InstanceID, group *common.ExceptionGroup, hash common.FlowHash, now time.Duration) {
 	if s.table.crowded() {
 		s.stats.ExceptionsLost++
 		return
@@ -254,6 +271,7 @@
 	e.flags |= flagNoTuple
 	e.service, e.endpoint = group.Service, group.Endpoint
 	e.opened, e.seen = now, now
+	s.markFormer(from, e)
 	t.count(e, 1)
 	s.enqueue(t, e)
 }
--- a/internal/decision/flow/scenario_test.go
+++ b/internal/decision/flow/scenario_test.go
@@ -539,3 +539,36 @@
 		}
 	}
 }
+
+// Guards against an earlier owner that repeats an old endpoint of a flow when
+// the slot moves on: the new owner has a newer one from the owner before it.
+func TestFormerOwnerWinsOverEarlierOnes(t *testing.T) {
+	for _, without := range []bool{false, true} {
+		p := newPair(t, Limits{ablation: ablation{lastWins: without}})
+		packets := p.flows(50)
+		report := func(from common.InstanceID, endpoint common.EndpointID) {
+			batch := &common.ReplicationBatch{Target: 2, Source: from, SourceIncarnation: 1, Sequence: Shards}
+			group := common.ExceptionGroup{Service: 7, Endpoint: endpoint}
+			for _, packet := range packets {
+				group.Hashes = append(group.Hashes, packet.Hash)
+			}
+			batch.Exceptions = []common.ExceptionGroup{group}
+			p.next.AddReplication(p.nextT, batch, p.now)
+		}
+		report(1, 3)
+		p.now += 5 * time.Second
+		p.installNext(leaveFirst)
+		p.now += time.Second
+		report(3, 2)
+		p.now += handover
+		moved := 0
+		for _, packet := range packets {
+			if p.follow(packet, func(data *Packet) { data.First = false }).Endpoint != 3 {
+				moved++
+			}
+		}
+		if without != (moved > 0) {
+			t.Errorf("the last report wins %v: %d flows moved", without, moved)
+		}
+	}
+}
--- a/internal/decision/flow/slots.go
+++ b/internal/decision/flow/slots.go
@@ -211,12 +211,15 @@
 	e.seen = now
 	switch {
 	case e.has(flagHeld):
+		if e.source() == s.slot(e.hash).former {
+			e.flags |= flagFormer
+		}
 		s.inherit(t, e)
 	case s.limits.ablation.tableWins:
 	case rejoined && (e.has(flagReported) || !e.has(flagQueued)):
 		s.forget(t, e)
 	default:
-		e.flags |= flagGuessed
+		e.flags = e.flags&^flagFormer | flagGuessed
 	}
 }
 
