--- a/internal/decision/flow/packet.go
+++ b/internal/decision/flow/packet.go
@@ -86,6 +86,8 @@
 	reuseMoves   bool // a new sequence number moves a flow off a leaving endpoint at once
 	expireHeld   bool // held flows expire although their owner lives
 	tableWins    bool // a table stays in use after the instance rejoined
+	lostReopens  bool // a former owner opens connections on known five-tuples
+	lastWins     bool // an earlier owner's report replaces the former owner's
 }
 
 // Stats holds the counters of one shard.
