Keep what the new owner reported when a connection is returned to it

Cause: a former owner that is also the successor forgot a closed flow when it returned the first packet, and with it the report of the new owner, which did not repeat it. Also drops the withdrawal at this place: the owner handles the packet at once.

--- a/internal/decision/flow/scenario_test.go
+++ b/internal/decision/flow/scenario_test.go
@@ -69,11 +69,16 @@
 
 // flows returns first packets in slots that the first instance owns.
 func (p *pair) flows(n int) []*Packet {
+	return p.flowsOf(1, n)
+}
+
+// flowsOf returns first packets in slots of an instance.
+func (p *pair) flowsOf(id common.InstanceID, n int) []*Packet {
 	var packets []*Packet
 	for source := uint32(0); len(packets) < n; source++ {
 		packet := tcpPacket(p.ownerT, source, true, 100)
 		owner, _ := p.ownerT.Owners().Owner(packet.Hash.Slot())
-		if ShardOf(packet.Hash) == 0 && owner == 1 {
+		if ShardOf(packet.Hash) == 0 && owner == id {
 			packets = append(packets, packet)
 		}
 	}
@@ -572,3 +577,55 @@
 		}
 	}
 }
+
+// Guards against a former owner that gives a connection back and loses what the
+// new owner reported about it: it is the successor and gets the slot again.
+func TestReturnedConnectionStaysReported(t *testing.T) {
+	serving := func(s *common.Snapshot) { s.Members[1].State = common.MemberServing }
+	p := newPair(t, Limits{})
+	packets := p.flowsOf(2, 200)
+	p.install(func(s *common.Snapshot) { drainFirst(s); s.Members[1].State = common.MemberJoining })
+	endpoints := make([]common.EndpointID, len(packets))
+	for i, packet := range packets {
+		packet.Service = p.ownerT.Match(serviceAddress)
+		endpoints[i] = p.owner.Handle(p.ownerT, packet, p.now, true).Endpoint
+	}
+	p.now += 10 * time.Second
+	p.install(undrainFirst)
+	batch := p.owner.PullReplication(p.ownerT, p.tables(1, p.ownerT, serving), 2)
+	p.next.AddReplication(p.nextT, &batch, p.now)
+	p.install(serving)
+	p.now += 3 * time.Second
+	p.replicateBack()
+	for i, packet := range packets {
+		p.follow(packet, func(reset *Packet) { reset.First, reset.Reset = false, true })
+		if p.follow(packet, func(again *Packet) { again.Sequence = 9 }).Endpoint != endpoints[i] {
+			t.Fatal("the new connection has another endpoint")
+		}
+	}
+	p.now += 3 * time.Second
+	p.replicateBack()
+	p.now += 2 * handover
+	p.install(func(s *common.Snapshot) { s.Members[1].State = common.MemberDead })
+	moved := 0
+	for i, packet := range packets {
+		data := *packet
+		data.First, data.Service = false, p.ownerT.Match(serviceAddress)
+		if p.owner.Handle(p.ownerT, &data, p.now, true).Endpoint != endpoints[i] {
+			moved++
+		}
+	}
+	if moved > 0 {
+		t.Errorf("%d flows moved", moved)
+	}
+}
+
+// replicateBack carries all batches of the second instance to the first.
+func (p *pair) replicateBack() {
+	for range 20 {
+		for _, batch := range p.next.TakeReplication(p.nextT, p.now, &Budget{Bytes: 1 << 20}) {
+			p.owner.AddReplication(p.ownerT, &batch, p.now)
+			p.next.AckReplication(1, batch.Sequence)
+		}
+	}
+}
--- a/internal/decision/flow/shard.go
+++ b/internal/decision/flow/shard.go
@@ -331,7 +331,7 @@
 
 // reopen gives a new connection on the five-tuple of an old one an endpoint.
 func (s *Shard) reopen(t *Tables, p *Packet, e *entry, now time.Duration) Action {
-	if action, relayed := s.returnFirst(t, p, e); relayed {
+	if action, relayed := s.returnFirst(t, p, e, now); relayed {
 		return action
 	}
 	if code := s.refusedBefore(p, now); code != resultcode.OK {
@@ -354,9 +354,9 @@
 // returnFirst relays a first packet that opens a new connection back to the
 // owner of a slot that this instance lost. If this instance opened the
 // connection near the end of the hand-over, the owner could handle the next
-// packet before it has the report. The closed flow is forgotten, so that packets
+// packet before it has the report. The closed flow is given up, so that packets
 // from senders with an older view follow.
-func (s *Shard) returnFirst(t *Tables, p *Packet, e *entry) (Action, bool) {
+func (s *Shard) returnFirst(t *Tables, p *Packet, e *entry, now time.Duration) (Action, bool) {
 	if p.HopCount >= maxHops || t.snapshot.Isolated || p.Orphaned || s.limits.ablation.lostReopens {
 		return Action{}, false
 	}
@@ -368,8 +368,12 @@
 	if !known {
 		return Action{}, false
 	}
-	s.withdrawLost(t, e)
-	s.forget(t, e)
+	if e.has(flagClaimed) {
+		// The owner relies on this instance for the flow.
+		s.handBack(t, e, owner, e.service, e.endpoint, now)
+	} else {
+		s.forget(t, e)
+	}
 	return Action{Kind: Relay, Code: resultcode.PacketRelayed, To: to, HopCount: p.HopCount + 1}, true
 }
 
