Ask the owner before a dead former owner during a hand-over

Cause: an instance that gained a slot asked only its direct former owner. If that one died or froze before it acted, the owner before it still had the flows and had reported them to the dead one; packets that came before the next report went to the default (P1). Trace: TestFreezes, case 1,281: instance 3 gave slot 115 up at 10.2 s to 4, which froze; 2 gained it at 14.1 s and sent a packet at 14.4 s to the default while 3 still had the flow. Ruled out: a bound of the replication interval. The instance that has the flow is alive and can be asked.

--- a/internal/decision/flow/packet.go
+++ b/internal/decision/flow/packet.go
@@ -87,6 +87,7 @@
 	expireHeld   bool // held flows expire although their owner lives
 	tableWins    bool // a table stays in use after the instance rejoined
 	lostReopens  bool // a former owner opens connections on known five-tuples
+	formerOnly   bool // the owner before a dead former owner is not asked
 	lastWins     bool // an earlier owner's report replaces the former owner's
 }
 
--- a/internal/decision/flow/shard.go
+++ b/internal/decision/flow/shard.go
@@ -150,8 +150,8 @@
 	if state.owner == t.self {
 		limit = maxOwnerHops
 	}
-	if p.HopCount <= limit && s.formerKnows(t, state, now) {
-		other = state.former
+	if former := s.knowingFormer(t, state, now); p.HopCount <= limit && former != 0 {
+		other = former
 	}
 	if other == t.self {
 		return Action{}, false
@@ -163,10 +163,19 @@
 	return Action{Kind: Relay, Code: resultcode.PacketRelayed, To: to, HopCount: p.HopCount + 1}, true
 }
 
-// formerKnows reports whether the former owner of a slot may have flows that it
-// has not reported yet.
-func (s *Shard) formerKnows(t *Tables, state *slotState, now time.Duration) bool {
-	return state.former != 0 && now-state.gained < handover && t.relaysFor(state.former)
+// knowingFormer returns the instance that may have flows of a gained slot that it
+// has not reported yet, 0 is none: the former owner or, if that one died within
+// the hand-over, the owner before it.
+func (s *Shard) knowingFormer(t *Tables, state *slotState, now time.Duration) common.InstanceID {
+	switch {
+	case state.former == 0 || now-state.gained >= handover:
+		return 0
+	case t.relaysFor(state.former):
+		return state.former
+	case state.earlier != 0 && t.relaysFor(state.earlier) && !s.limits.ablation.formerOnly:
+		return state.earlier
+	}
+	return 0
 }
 
 func (s *Shard) handleKnown(t *Tables, p *Packet, e *entry, now time.Duration) Action {
--- a/internal/decision/flow/slots.go
+++ b/internal/decision/flow/slots.go
@@ -19,6 +19,12 @@
 	targetIncarnation uint64
 	// former is the owner before this instance, 0 is none.
 	former common.InstanceID
+	// before is the owner before the present one, whoever that is, and changed
+	// is when it changed. earlier is the owner before former if the slot moved
+	// to former within the hand-over before this instance gained it, 0 is none.
+	before  common.InstanceID
+	earlier common.InstanceID
+	changed time.Duration
 	// gained and lost are when this instance last gained and lost the slot.
 	gained time.Duration
 	lost   time.Duration
@@ -96,10 +102,15 @@
 			gained.add(local)
 			state.former = state.owner
 			state.gained = now
+			state.earlier = state.recentlyBefore(now)
 		case state.owner == t.self:
 			lost.add(local)
 			state.lost = now
 		}
+		if owner != state.owner {
+			state.before = state.owner
+			state.changed = now
+		}
 		state.owner = owner
 		if s.updateTarget(t, local) {
 			moved.add(local)
@@ -109,6 +120,15 @@
 	return gained, lost
 }
 
+// recentlyBefore returns the owner before the present one while the hand-over
+// between the two lasts, else 0.
+func (state *slotState) recentlyBefore(now time.Duration) common.InstanceID {
+	if now-state.changed >= handover {
+		return 0
+	}
+	return state.before
+}
+
 // updateTarget sets the target of a slot and reports whether what was reported
 // on the slot must be sent again.
 func (s *Shard) updateTarget(t *Tables, local int) bool {
--- a/internal/decision/flow/takeover_test.go
+++ b/internal/decision/flow/takeover_test.go
@@ -185,3 +185,21 @@
 		}
 	}
 }
+
+// Guards against an owner that never acts: the first instance gives its slots
+// up to the second, which is dead or frozen, and the third gets them before the
+// first has reported to it.
+func TestNewOwnerDiesDuringHandover(t *testing.T) {
+	for _, without := range []bool{false, true} {
+		w := newTrio(t, Limits{ablation: ablation{formerOnly: without}})
+		w.pass(time.Second)
+		w.dead[1] = true
+		w.publish(drainFirst)
+		w.open(200)
+		w.publish(leaveFirst)
+		w.kill(1)
+		if moved := w.moved(2, 1); without != (moved > 0) {
+			t.Errorf("only the dead owner counts %v: %d flows moved", without, moved)
+		}
+	}
+}
