Test a join while the owner keeps an older service base

The owner keeps the older base for other slots and sends it to the joiner between the pull and the first slots of the joiner. The silent flows of the pulled slots, which are on the newer base, do not move, since their slot bases are sent first; without slot bases they move.

--- a/internal/decision/flow/takeover_test.go
+++ b/internal/decision/flow/takeover_test.go
@@ -7,13 +7,13 @@
 	"burdockrelay.example/burdockrelay/common"
 )
 
-// trio is three instances on one shard.
+// trio is three instances on one shard, and a fourth that may join.
 type trio struct {
 	t         *testing.T
 	now       time.Duration
-	shards    [3]*Shard
-	tables    [3]*Tables
-	dead      [3]bool
+	shards    [4]*Shard
+	tables    [4]*Tables
+	dead      [4]bool
 	packets   []*Packet
 	endpoints []common.EndpointID
 	source    uint32 // of the next first packet; five-tuples are not reused
@@ -22,6 +22,7 @@
 func newTrio(t *testing.T, limits Limits) *trio {
 	limits.MaxFlows = 1000
 	w := &trio{t: t}
+	w.dead[3] = true
 	for i := range w.shards {
 		w.shards[i] = NewShard(0, limits)
 		w.install(i, func(*common.Snapshot) {})
@@ -29,8 +30,14 @@
 	return w
 }
 
+func trioSnapshot() *common.Snapshot {
+	s := testSnapshot(4, 4)
+	s.Members[3].State = common.MemberDead
+	return s
+}
+
 func (w *trio) install(i int, change func(s *common.Snapshot)) {
-	s := testSnapshot(4, 3)
+	s := trioSnapshot()
 	s.Self = common.InstanceID(i + 1)
 	if previous := w.tables[i]; previous != nil {
 		s.Sequence = previous.snapshot.Sequence + 1
@@ -54,7 +61,7 @@
 // open opens flows at the first instance in slots that the second gets when
 // the first ends.
 func (w *trio) open(n int) {
-	without := testSnapshot(4, 3)
+	without := trioSnapshot()
 	without.Members[0].State = common.MemberDead
 	second := mustTables(w.t, without, nil)
 	w.openAt(0, n, func(slot uint16) bool {
@@ -203,3 +210,61 @@
 		}
 	}
 }
+
+// Guards against a joiner that gets a newer message about the base of a service
+// between its pull and its first slots: the owner keeps an older base for other
+// slots, and silent flows of the pulled ones are not on it.
+func TestBaseBetweenPullAndGain(t *testing.T) {
+	for _, without := range []bool{false, true} {
+		moved := movedAfterPull(t, Limits{ablation: ablation{noSlotBases: without}})
+		if without != (moved > 0) {
+			t.Errorf("without slot bases %v: %d flows moved", without, moved)
+		}
+	}
+}
+
+// movedAfterPull counts the silent flows that move to other endpoints when the
+// fourth instance takes their slots from the second, which took them from the
+// third.
+func movedAfterPull(t *testing.T, limits Limits) int {
+	w := newTrio(t, limits)
+	before := w.tables[0].service(7).table
+	w.open(50)
+	w.pass(10 * time.Second)
+	w.kill(0)
+	w.publish(drainFirst)
+	w.packets, w.endpoints = nil, nil
+	joined := trioSnapshot()
+	joined.Members[0].State, joined.Members[2].State = common.MemberDead, common.MemberDead
+	joined.Members[3].State = common.MemberServing
+	future := mustTables(t, joined, nil)
+	w.openAt(2, 200, func(slot uint16) bool {
+		owner, _ := future.Owners().Owner(slot)
+		return owner == 4
+	})
+	w.pass(10 * time.Second)
+	w.kill(2)
+	w.pass(10 * time.Second)
+	w.dead[3] = false
+	w.install(1, func(s *common.Snapshot) { s.Members[3].State = common.MemberJoining })
+	w.install(3, func(s *common.Snapshot) {
+		s.Members = append([]common.Member(nil), w.tables[1].snapshot.Members...)
+		s.Services[0].Endpoints = append([]common.Endpoint(nil), w.tables[1].snapshot.Services[0].Endpoints...)
+	})
+	serving := func(s *common.Snapshot) { s.Members[3].State = common.MemberServing }
+	next := *w.tables[1].snapshot
+	next.Members = append([]common.Member(nil), next.Members...)
+	next.Sequence++
+	serving(&next)
+	batch := w.shards[1].PullReplication(w.tables[1], mustTables(t, &next, w.tables[1]), 4)
+	w.shards[3].AddReplication(w.tables[3], &batch, w.now)
+	w.install(1, serving)
+	w.pass(5 * time.Second)
+	if !limits.ablation.noSlotBases && !w.shards[3].sources[2].bases[7].Same(before) {
+		t.Error("the joiner did not get the older base")
+	}
+	w.install(3, serving)
+	w.pass(3 * handover)
+	w.publish(drainSecond)
+	return w.moved(3, 1)
+}
