--- a/internal/decision/flow/shard.go
+++ b/internal/decision/flow/shard.go
@@ -150,8 +150,8 @@
 	if state.owner == t.self {
 		limit = maxOwnerHops
 	}
-	if p.HopCount <= limit && s.formerKnows(t, state, now) {
-		other = state.former
+	if former := s.knowingFormer(t, state, now); p.HopCount <= limit && former != 0 {
+		other = former
 	}
 	if other == t.self {
 		return Action{}, false
@@ -163,10 +163,19 @@
 	return Action{Kind: Relay, Code: resultcode.PacketRelayed, To: to, HopCount: p.HopCount + 1}, true
 }
 
-// formerKnows reports whether the former owner of a slot may have flows that it
-// has not reported yet.
-func (s *Shard) formerKnows(t *Tables, state *slotState, now time.Duration) bool {
-	return state.former != 0 && now-state.gained < handover && t.relaysFor(state.former)
+// knowingFormer returns the instance that may have flows of a gained slot that it
+// has not reported yet, 0 is none: the former owner or, if that one died within
+// the hand-over, the owner before it.
+func (s *Shard) knowingFormer(t *Tables, state *slotState, now time.Duration) common.InstanceID {
+	switch {
+	case state.former == 0 || now-state.gained >= handover:
+		return 0
+	case t.relaysFor(state.former):
+		return state.former
+	case state.earlier != 0 && t.relaysFor(state.earlier) && !s.limits.ablation.formerOnly:
+		return state.earlier
+	}
+	return 0
 }
 
 func (s *Shard) handleKnown(t *Tables, p *Packet, e *entry, now time.Duration) Action {
@@ -331,7 +340,7 @@
 
 // reopen gives a new connection on the five-tuple of an old one an endpoint.
 func (s *Shard) reopen(t *Tables, p *Packet, e *entry, now time.Duration) Action {
-	if action, relayed := s.returnFirst(t, p, e); relayed {
+	if action, relayed := s.returnFirst(t, p, e, now); relayed {
 		return action
 	}
 	if code := s.refusedBefore(p, now); code != resultcode.OK {
@@ -354,9 +363,9 @@
 // returnFirst relays a first packet that opens a new connection back to the
 // owner of a slot that this instance lost. If this instance opened the
 // connection near the end of the hand-over, the owner could handle the next
-// packet before it has the report. The closed flow is forgotten, so that packets
+// packet before it has the report. The closed flow is given up, so that packets
 // from senders with an older view follow.
-func (s *Shard) returnFirst(t *Tables, p *Packet, e *entry) (Action, bool) {
+func (s *Shard) returnFirst(t *Tables, p *Packet, e *entry, now time.Duration) (Action, bool) {
 	if p.HopCount >= maxHops || t.snapshot.Isolated || p.Orphaned || s.limits.ablation.lostReopens {
 		return Action{}, false
 	}
@@ -368,8 +377,12 @@
 	if !known {
 		return Action{}, false
 	}
-	s.withdrawLost(t, e)
-	s.forget(t, e)
+	if e.has(flagClaimed) {
+		// The owner relies on this instance for the flow.
+		s.handBack(t, e, owner, e.service, e.endpoint, now)
+	} else {
+		s.forget(t, e)
+	}
 	return Action{Kind: Relay, Code: resultcode.PacketRelayed, To: to, HopCount: p.HopCount + 1}, true
 }
 
