--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # compile the linter again.
 GOLANGCI := $(firstword $(wildcard $(shell go env GOPATH)/bin/golangci-lint) $(TOOLS)/golangci-lint)
 
-.PHONY: build test lint fmt demo soak bench experiment clean tools
+.PHONY: build test lint fmt demo failures soak bench experiment clean tools
 
 build:
 	go build -o $(BIN)/ ./binaries/...
@@ -33,6 +33,10 @@
 demo: build
 	scripts/demo.sh
 
+# Takes up to 4 minutes, so it is not part of .ci/run.
+failures: build
+	scripts/failures.sh
+
 # Compares the load policies on the users' workloads; writes CSV and plots.
 experiment: build
 	$(BIN)/policy-experiment -out out/experiment
--- a/standins/cmd/standin-endpoint/main.go
+++ b/standins/cmd/standin-endpoint/main.go
@@ -26,6 +26,7 @@
 	flag.IntVar(&settings.Slots, "slots", 2, "requests served concurrently")
 	flag.IntVar(&settings.Queue, "queue", 64, "requests that wait for a slot")
 	flag.StringVar(&settings.Status, "status", endpoint.StatusUp, "status at the start: up, cold, draining or down")
+	flag.StringVar(&settings.ReportsFile, "reports-file", "", "file that keeps the runs of reports over a restart, none if empty")
 	flag.Parse()
 
 	process.Main("standin-endpoint", func(t *tomb.Tomb, logger *zap.Logger) error {
--- a/standins/endpoint/endpoint.go
+++ b/standins/endpoint/endpoint.go
@@ -33,6 +33,9 @@
 	Queue int
 	// Status is the status at the start.
 	Status string
+	// ReportsFile keeps the runs of reports beyond the end of the process. They
+	// are kept in memory only when it is empty.
+	ReportsFile string
 }
 
 // Endpoint is one running stand-in.
@@ -61,6 +64,11 @@
 		settings: settings,
 		requests: newRequests(settings.Name, settings.Slots, settings.Queue),
 	}
+	if settings.ReportsFile != "" {
+		if err := e.requests.keepIn(settings.ReportsFile); err != nil {
+			return nil, err
+		}
+	}
 	e.health = newHealth(settings.Status, e.requests)
 	if err := e.openTunnel(t); err != nil {
 		return nil, err
--- /dev/null
+++ b/standins/endpoint/ledger_test.go
@@ -0,0 +1,46 @@
+package endpoint
+
+import (
+	"path/filepath"
+	"testing"
+)
+
+// Guards against reports that are lost, or counted once instead of twice, when
+// an endpoint is killed and started again.
+func TestReportsSurviveARestart(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "reports")
+	first := newRequests("order-1", 2, 2)
+	if err := first.keepIn(name); err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range []string{"report-1", "report-2"} {
+		if runs, ok := first.runReport(id); runs != 1 || !ok {
+			t.Fatalf("%s: %d runs, run %v", id, runs, ok)
+		}
+	}
+	second := newRequests("order-1", 2, 2)
+	if err := second.keepIn(name); err != nil {
+		t.Fatal(err)
+	}
+	if len(second.reports) != 2 {
+		t.Errorf("%d reports after the restart, want 2", len(second.reports))
+	}
+	if runs, ok := second.runReport("report-2"); runs != 2 || !ok {
+		t.Errorf("second run of report-2: %d runs, run %v", runs, ok)
+	}
+}
+
+// Guards against a report that is answered as run although its run could not be
+// recorded.
+func TestUnrecordedReportIsNotRun(t *testing.T) {
+	q := newRequests("order-1", 2, 2)
+	if err := q.keepIn(filepath.Join(t.TempDir(), "reports")); err != nil {
+		t.Fatal(err)
+	}
+	if err := q.ledger.file.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := q.runReport("report-1"); ok || len(q.reports) != 0 {
+		t.Errorf("run %v, %d reports", ok, len(q.reports))
+	}
+}
--- a/standins/endpoint/requests.go
+++ b/standins/endpoint/requests.go
@@ -44,6 +44,7 @@
 	running  int
 	delay    time.Duration
 	reports  map[string]int
+	ledger   *ledger
 	counters requestCounters
 }
 
@@ -66,6 +67,17 @@
 	}
 }
 
+// keepIn takes the runs of earlier processes from a file and records further
+// ones there.
+func (q *requests) keepIn(name string) error {
+	opened, runs, err := openLedger(name)
+	if err != nil {
+		return err
+	}
+	q.ledger, q.reports = opened, runs
+	return nil
+}
+
 // load returns the number of requests under way and waiting.
 func (q *requests) load() int {
 	q.mutex.Lock()
@@ -254,7 +266,7 @@
 	runs, ok := q.runReport(requestID(r))
 	if !ok {
 		w.Header().Set(HeaderNotRun, "true")
-		http.Error(w, "too many reports", http.StatusInsufficientStorage)
+		http.Error(w, "too many reports, or the run cannot be recorded", http.StatusInsufficientStorage)
 		return
 	}
 	process.WriteJSON(w, http.StatusOK, ReportAnswer{q.name, requestID(r), runs})
@@ -266,6 +278,9 @@
 	if _, known := q.reports[id]; !known && len(q.reports) >= maxReportIDs {
 		return 0, false
 	}
+	if q.ledger != nil && q.ledger.add(id) != nil {
+		return 0, false
+	}
 	q.counters.Reports++
 	q.reports[id]++
 	return q.reports[id], true
