--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -76,7 +76,7 @@
 
 # sum_not_opened adds up the reasons in a summary.
 sum_not_opened() {
-  sed -n '/"flows_not_opened": {/,/}/p' |
+  sed -n '/"flows_not_opened": {$/,/}/p' |
     grep -o '": [0-9]*' | awk '{ sum += $2 } END { print sum + 0 }'
 }
 
@@ -146,19 +146,26 @@
 # freeze_controllers checks that the entryd daemons go on forwarding. Flows
 # opened during the freeze have no replicated state, but their owners still run.
 freeze_controllers() {
-  local downloads reports boards
+  local downloads reports boards forwarded fenced rate
+  boards=$(summary boards_ok)
+  sleep 4
+  rate=$((($(summary boards_ok) - boards) / 4))
   begin_case "all controld frozen for 12 s" $UNREPLICATED_MS $LEASE_MS
   signal_controllers STOP $ENTRIES
   sleep 4
   downloads=$(summary downloads_complete)
   boards=$(summary boards_ok)
   reports=$(summary reports_ok)
+  forwarded=$(packets_with 1020)
+  fenced=$(packets_with 1100)
   sleep 8
   check "downloads complete without controld" at_least "$(summary downloads_complete)" $((downloads + 1))
   check "lookups are answered without controld" at_least "$(summary boards_ok)" $((boards + 1))
   check "reports are answered without controld" at_least "$(summary reports_ok)" $((reports + 1))
   note "without controld, from 4 s to 12 s" "$(($(summary downloads_complete) - downloads)) downloads, \
 $(($(summary boards_ok) - boards)) lookups, $(($(summary reports_ok) - reports)) reports"
+  note "lookups per second, before and then" "$rate, $((($(summary boards_ok) - boards) / 8))"
+  note "packets then: forwarded, code 1100" "$(($(packets_with 1020) - forwarded)), $(($(packets_with 1100) - fenced))"
   signal_controllers CONT $ENTRIES
   sleep 2
   settle
@@ -166,6 +173,14 @@
   end_case $ENTRIES
 }
 
+# packets_with CODE adds up the packets of all instances with a result code. Code
+# 1100 stands for those that a fenced instance relays or drops.
+packets_with() {
+  local i
+  for i in $ENTRIES; do http "http://$ENTRY_NET.$i:9101/metrics"; done |
+    awk -v name="burdock_entry_results_total{code=\"$1\"}" '$1 == name { sum += $2 } END { print sum + 0 }'
+}
+
 stop_instance() {
   begin_case "entry-5 stopped as planned" -
   stop_entry 5 $CONTROLD_STOP_S $ENTRYD_STOP_S
@@ -214,7 +229,7 @@
 
 # lose_answers COUNT publishes while the platform loses answers of changes.
 lose_answers() {
-  local count=$1 lost
+  local count=$1 lost i
   lost=$(counter $PLATFORM/control/counters answers_lost)
   begin_case "$count answers of the platform lost" -
   write_variant "lost-$count" $((20 + count))
@@ -233,7 +248,7 @@
 }
 
 two_operators() {
-  local name first second codes=()
+  local i first second codes=()
   begin_case "two operators at once" -
   write_variant operator-1 41
   write_variant operator-2 42
@@ -259,7 +274,7 @@
 
 impair_fabric() {
   local bad='{"loss_percent": 2, "duplicate_percent": 2, "reorder_percent": 5, "reorder_ms": 20}'
-  local good='{"loss_percent": 0, "duplicate_percent": 0, "reorder_percent": 0, "reorder_ms": 0}'
+  local key good='{"loss_percent": 0, "duplicate_percent": 0, "reorder_percent": 0, "reorder_ms": 0}'
   begin_case "loss, duplication, reordering for 10 s" -
   check "the fabric's impairments begin" control PATCH "$FABRIC_CONTROL/control/impairments" "{\"to_entries\": $bad, \"to_callers\": $bad}"
   sleep 10
@@ -279,7 +294,8 @@
   begin_case "$name killed and started" - - "$name"
   send "$name" KILL
   await_end "$name" 1
-  sleep 5
+  must "$name: is seen as down" 10 endpoint_down "$name"
+  sleep 2
   start_endpoint $(grep "^$name " <<<"$ENDPOINTS")
   begin=$(elapsed_ms)
   must "$name: up again" 15 endpoint_up "$name"
@@ -288,6 +304,7 @@
   end_case $ENTRIES
 }
 
+endpoint_down() { [ "$(status 1 | grep "\"name\":\"$1\"" | field state)" = down ]; }
 endpoint_up() { [[ $(status 1 | grep "\"name\":\"$1\"" | field state) =~ ^(up|cold)$ ]]; }
 
 # assign_broken assigns each broken flow to a failure by the time at which it
@@ -295,12 +312,9 @@
 assign_broken() {
   local opened broken at endpoint reason line i n count=${#case_names[@]}
   local -a all allowed
-  stray=0
-  listed=0
   permitted=0
   for ((i = 0; i < count; i++)); do all[i]=0 allowed[i]=0; done
   while IFS='|' read -r opened broken endpoint reason line; do
-    listed=$((listed + 1))
     at=$broken
     if [ "$reason" = stalled ]; then at=$((broken - STALL_S * 1000 + STOPPED_EARLIER_MS)); fi
     n=-1
@@ -310,7 +324,6 @@
       allowed[n]=$((allowed[n] + 1))
       permitted=$((permitted + 1))
     else
-      stray=$((stray + 1))
       printf '  not allowed: %s, opened %+d ms, broken %+d ms from the beginning of "%s"\n' "$line" \
         $((opened - case_begins[n < 0 ? 0 : n])) $((broken - case_begins[n < 0 ? 0 : n])) "${case_names[n < 0 ? 0 : n]}"
     fi
