--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -164,14 +164,14 @@
 	c.core.mu.Unlock()
 	c.core.logger.Info("preparing_to_leave")
 	c.core.snapshotChanged()
-	c.replication.waitReported(0, reportLimit, idleBeforeLeaving)
+	c.replication.waitReported(0, reportLimit, idleBeforeLeaving, maxPendingAtLeave)
 	c.core.mu.Lock()
 	c.core.machine.Leave(c.core.now())
 	c.core.mu.Unlock()
 	c.core.logger.Info("leaving")
 	c.core.snapshotChanged()
 	c.membership.announce()
-	c.replication.waitReported(relayTime, handoverLimit, idleBeforeEnd)
+	c.replication.waitReported(relayTime, handoverLimit, idleBeforeEnd, 0)
 }
 
 // Stop ends the controllers and waits for them.
--- a/internal/controller/replication.go
+++ b/internal/controller/replication.go
@@ -43,9 +43,12 @@
 	// pullTries is how often a peer is asked for the state of the slots.
 	pullTries = 2
 	// reportLimit bounds how long an instance that is to leave reports its
-	// exceptions while it still owns its slots. Flows opened later are covered
-	// by the new owner, which asks the leaver.
-	reportLimit = 4 * time.Second
+	// exceptions while it still owns its slots.
+	reportLimit = 30 * time.Second
+	// maxPendingAtLeave is the number of updates that may be left then: they are
+	// reported within the time in which the new owner asks the leaver. Zero is
+	// never reached while new flows need reports.
+	maxPendingAtLeave = 50
 	// relayTime is how long a leaving instance stays at least: the new owner of a
 	// slot asks the former one for 6 s.
 	relayTime = 6500 * time.Millisecond
@@ -60,9 +63,10 @@
 	// datagram is in flight at a time, so a target takes them in this order.
 	queues map[common.InstanceID]*replicationQueue
 	acks   chan *replicationAck
-	// looks counts the calls of takeDue that entryd answered, lastPending is the
-	// last of them with updates that no target has acknowledged.
-	looks, lastPending uint64
+	// looks counts the calls of takeDue that entryd answered, pending is the
+	// number of updates that no target had acknowledged at the last of them.
+	looks   uint64
+	pending int
 }
 
 // replicationQueue is what one target has not acknowledged.
@@ -140,9 +144,7 @@
 	}
 	r.mu.Lock()
 	r.looks++
-	if response.GetPending() > 0 || r.queued() > 0 {
-		r.lastPending = r.looks
-	}
+	r.pending = int(response.GetPending()) + r.queued()
 	r.mu.Unlock()
 }
 
@@ -453,31 +455,38 @@
 	}
 }
 
-// waitReported waits until entryd has had no update left for the other instances
-// in the given number of looks in a row, but no shorter than least and no longer
-// than the limit.
-func (r *replicationController) waitReported(least, limit time.Duration, looks uint64) {
+// waitReported waits until entryd has had at most maxPending updates left for the
+// other instances in the given number of looks in a row, but no shorter than least
+// and no longer than the limit.
+func (r *replicationController) waitReported(least, limit time.Duration, looks, maxPending int) {
 	earliest := r.now() + least
 	deadline := r.now() + limit
-	r.mu.Lock()
-	first := r.looks
-	r.mu.Unlock()
+	idle := 0
+	seen := uint64(0)
 	for r.now() < deadline {
 		time.Sleep(replicationInterval)
 		r.mu.Lock()
-		idle := r.looks - max(r.lastPending, first)
+		current, pending := r.looks, r.pending
 		peers := len(r.machine.Peers())
 		r.mu.Unlock()
+		switch {
+		case current == seen:
+		case pending > maxPending:
+			idle = 0
+		default:
+			idle++
+		}
+		seen = current
 		if peers == 0 || (idle >= looks && r.now() >= earliest) {
 			return
 		}
 	}
 }
 
-// idleBeforeLeaving is the number of looks without pending updates before an
-// instance announces that it leaves: 600 ms, in which entryd gets a snapshot
-// that forbids exceptions.
-const idleBeforeLeaving = 3
+// idleBeforeLeaving is the number of looks with few pending updates before an
+// instance announces that it leaves: 1 s, in which entryd gets a snapshot that
+// forbids exceptions.
+const idleBeforeLeaving = 5
 
 // idleBeforeEnd is the number of looks without pending updates before a leaving
 // instance ends: 2 s.
