--- a/experiments/replay/group.go
+++ b/experiments/replay/group.go
@@ -95,15 +95,6 @@
 	return nil
 }
 
-func (r *groupRouter) byID(id common.InstanceID) *instance {
-	for _, candidate := range r.instances {
-		if candidate.member.ID == id {
-			return candidate
-		}
-	}
-	return nil
-}
-
 // Route handles the packet at the receiving instance and, when it relays, at
 // the owner.
 func (r *groupRouter) Route(number int, packet *flow.Packet, now time.Duration) common.EndpointID {
--- a/internal/config/generate_test.go
+++ b/internal/config/generate_test.go
@@ -93,7 +93,11 @@
 // and endpoints of docs/design.md section 1.6. Addresses and weights are drawn
 // at random, so that they compress no better than real ones.
 func targetScale() string {
-	const services, endpoints = 1_900, 14_000
+	return scaledConfiguration(1_900, 14_000)
+}
+
+// scaledConfiguration returns a configuration with the given sizes.
+func scaledConfiguration(services, endpoints int) string {
 	random := rand.New(rand.NewPCG(1, 0))
 	var text strings.Builder
 	for place := range 12 {
--- /dev/null
+++ b/internal/config/slope_test.go
@@ -0,0 +1,52 @@
+package config
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+)
+
+// heapBytes returns the live heap after a collection.
+func heapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// Cost of a release by its number of endpoints, for docs/CAPACITY.md.
+func BenchmarkReleaseSlope(b *testing.B) {
+	for _, services := range []int{475, 950, 1900} {
+		endpoints := services * 14_000 / 1_900
+		b.Run(fmt.Sprintf("endpoints=%d", endpoints), func(b *testing.B) {
+			text := scaledConfiguration(services, endpoints)
+			configuration, faults := Parse([]File{{Name: "scale.yaml", Content: []byte(text)}})
+			if len(faults) > 0 {
+				b.Fatal(faults)
+			}
+			release, faults := BuildRelease(configuration, nil, ReleaseInfo{Author: "a", CreatedAt: testTime})
+			if len(faults) > 0 {
+				b.Fatal(faults)
+			}
+			body, _, err := release.Encode()
+			if err != nil {
+				b.Fatal(err)
+			}
+			before := heapBytes()
+			decoded, err := DecodeRelease(body)
+			if err != nil {
+				b.Fatal(err)
+			}
+			held := heapBytes() - before
+			runtime.KeepAlive(decoded)
+			for b.Loop() {
+				if _, err := DecodeRelease(body); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(body)), "body-bytes")
+			b.ReportMetric(float64(held), "held-bytes")
+		})
+	}
+}
--- /dev/null
+++ b/internal/decision/flow/slope_test.go
@@ -0,0 +1,39 @@
+package flow
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+)
+
+// Memory of open flows, for docs/CAPACITY.md.
+func BenchmarkFlowMemorySlope(b *testing.B) {
+	for _, flows := range []int{1000, 4000, 8000} {
+		b.Run(fmt.Sprintf("flows=%d", flows), func(b *testing.B) {
+			tables := mustTables(b, testSnapshot(15, 4), nil)
+			packets := benchPackets(tables, flows)
+			var held float64
+			for b.Loop() {
+				before := heapInUse()
+				shard := NewShard(0, Limits{MaxFlows: 8192})
+				shard.Install(tables, 0)
+				for _, p := range packets {
+					p.HopCount = maxHops
+					shard.Handle(tables, p, 0, true)
+				}
+				held = float64(heapInUse() - before)
+				runtime.KeepAlive(shard)
+			}
+			b.ReportMetric(held/float64(flows), "B/flow")
+			b.ReportMetric(held, "held-bytes")
+		})
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
