Name the present table in replication by its number

Cause: after each change of membership an owner sent the endpoints of each base to each successor for each of 64 shards, 17.6 KB at 15 endpoints; up to 3,174 updates of one instance waited for it.

--- a/experiments/replay/group.go
+++ b/experiments/replay/group.go
@@ -229,7 +229,9 @@
 	target.bytes += sent + acks
 	for i := range batches {
 		shard := flow.ShardOfSequence(batches[i].Sequence)
-		target.shards[shard].AddReplication(target.tables, &batches[i], now)
+		if !target.shards[shard].AddReplication(target.tables, &batches[i], now) {
+			continue
+		}
 		source.shards[shard].AckReplication(batches[i].Target, batches[i].Sequence)
 	}
 }
--- a/internal/controller/replication.go
+++ b/internal/controller/replication.go
@@ -355,6 +355,9 @@
 		return false
 	}
 	code := resultcode.Code(response.GetResultCode())
+	if code == resultcode.ReplicationUnknownTable {
+		return false
+	}
 	if code != resultcode.OK && code != resultcode.ReplicationStale {
 		r.logger.Warn("replication_refused", zap.Uint32("result_code", uint32(code)), zap.Uint32("source", batch.GetSource()))
 		return false
--- a/internal/decision/flow/batch.go
+++ b/internal/decision/flow/batch.go
@@ -162,12 +162,27 @@
 		if acked := b.target.bases[id]; acked != nil && acked.Same(wanted) {
 			continue
 		}
-		base := wanted.Base()
-		if b.use(baseBytes + endpointBytes*len(base.Eligible)) {
-			b.sent.batch.Bases = append(b.sent.batch.Bases, base)
-			b.sent.bases[id] = wanted
-		}
+		b.addBase(service, wanted)
+	}
+}
+
+// addBase names the present table by its number, because the target usually has
+// the same one: the sets of all services for each shard and successor took 15 s of
+// the budget after each change of membership. Room is kept for the whole set, which
+// a batch without acknowledgement is sent again with.
+func (b *builder) addBase(service *ServiceTables, wanted *lookup.Table) {
+	base := wanted.Base()
+	whole := baseBytes + endpointBytes*len(base.Eligible)
+	if !b.use(whole) {
+		return
+	}
+	if wanted.Same(service.table) && whole > referenceBytes {
+		base = common.ServiceBase{Service: base.Service, Weights: []uint32{wanted.ID()}}
+		b.sent.bytes -= whole - referenceBytes
+		b.sent.saved += whole - referenceBytes
 	}
+	b.sent.batch.Bases = append(b.sent.batch.Bases, base)
+	b.sent.bases[base.Service] = wanted
 }
 
 // serviceBase returns the base that the target should have for all slots of the
--- a/internal/decision/flow/receive.go
+++ b/internal/decision/flow/receive.go
@@ -28,14 +28,19 @@
 }
 
 // AddReplication stores updates from another instance. Batches that are older
-// than the last one from the same source are ignored.
-func (s *Shard) AddReplication(t *Tables, batch *common.ReplicationBatch, now time.Duration) {
+// than the last one from the same source are ignored. It returns false when the
+// batch names a table that this instance does not have; it must not be
+// acknowledged then, and the source sends it again with the whole set.
+func (s *Shard) AddReplication(t *Tables, batch *common.ReplicationBatch, now time.Duration) bool {
 	if batch.Source == t.self || (batch.Target != 0 && batch.Target != t.self) {
-		return
+		return true
+	}
+	if !t.knowsBases(batch.Bases) {
+		return false
 	}
 	r := s.sourceOf(batch)
 	if r == nil {
-		return
+		return true
 	}
 	// A batch may carry a new base and the flows that differ from it, so both
 	// are stored before any packet is handled.
@@ -43,6 +48,29 @@
 	for i := range batch.Exceptions {
 		s.addGroup(t, batch.Source, &batch.Exceptions[i], now)
 	}
+	return true
+}
+
+// knowsBases reports whether the present tables have all tables that the bases
+// name by their number.
+func (t *Tables) knowsBases(bases []common.ServiceBase) bool {
+	for i := range bases {
+		base := &bases[i]
+		if !isReference(base) {
+			continue
+		}
+		service := t.service(base.Service)
+		if service == nil || service.table.ID() != base.Weights[0] {
+			return false
+		}
+	}
+	return true
+}
+
+// isReference reports whether a base names a set by its number, as its only
+// weight, in place of listing it.
+func isReference(base *common.ServiceBase) bool {
+	return len(base.Eligible) == 0 && len(base.Weights) == 1
 }
 
 // sourceOf returns the state of the batch's source, or nil when the batch is
@@ -75,7 +103,12 @@
 
 func (s *Shard) addBases(t *Tables, r *source, batch *common.ReplicationBatch, now time.Duration) {
 	for i := range batch.Bases {
-		r.bases[batch.Bases[i].Service] = t.tableOf(&batch.Bases[i])
+		base := &batch.Bases[i]
+		if isReference(base) {
+			r.bases[base.Service] = t.service(base.Service).table
+			continue
+		}
+		r.bases[base.Service] = t.tableOf(base)
 	}
 	for i := range batch.SlotBases {
 		s.addSlotBase(t, r, batch, i)
--- a/internal/decision/flow/replicate.go
+++ b/internal/decision/flow/replicate.go
@@ -62,8 +62,10 @@
 
 // sentBatch is a batch without acknowledgement.
 type sentBatch struct {
-	batch     common.ReplicationBatch
-	bytes     int
+	batch common.ReplicationBatch
+	bytes int
+	// saved is what the references to tables save.
+	saved     int
 	at        time.Duration
 	flows     []sentFlow
 	bases     map[common.ServiceID]*lookup.Table
@@ -368,11 +370,24 @@
 		return nil
 	}
 	g.sent.at = now
+	g.sent.expand()
 	g.sent.batch.SourceIncarnation = t.Incarnation()
 	budget.Bytes -= g.sent.bytes
 	return &g.sent.batch
 }
 
+// expand lists the sets that the batch named by their number: the target may not
+// have them.
+func (b *sentBatch) expand() {
+	b.bytes += b.saved
+	b.saved = 0
+	for i := range b.batch.Bases {
+		if base := &b.batch.Bases[i]; isReference(base) {
+			*base = b.bases[base.Service].Base()
+		}
+	}
+}
+
 // AckReplication notes that the target holds the batch with this sequence. It
 // ignores sequences of other shards and of batches that are not under way.
 func (s *Shard) AckReplication(id common.InstanceID, sequence uint64) {
--- a/internal/decision/flow/scenario_test.go
+++ b/internal/decision/flow/scenario_test.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -60,8 +61,7 @@
 // acknowledgements come back.
 func (p *pair) replicate(acknowledged bool) {
 	for _, batch := range p.owner.TakeReplication(p.ownerT, p.now, &Budget{Bytes: 1 << 20}) {
-		p.next.AddReplication(p.nextT, &batch, p.now)
-		if acknowledged {
+		if p.next.AddReplication(p.nextT, &batch, p.now) && acknowledged {
 			p.owner.AckReplication(2, batch.Sequence)
 		}
 	}
@@ -272,8 +272,9 @@
 	for p.owner.Stats().Pending > 0 || rounds < 3 {
 		budget := &Budget{Bytes: 300}
 		for _, batch := range p.owner.TakeReplication(p.ownerT, p.now, budget) {
-			p.next.AddReplication(p.nextT, &batch, p.now)
-			p.owner.AckReplication(2, batch.Sequence)
+			if p.next.AddReplication(p.nextT, &batch, p.now) {
+				p.owner.AckReplication(2, batch.Sequence)
+			}
 		}
 		if budget.Bytes < 0 {
 			t.Fatalf("%d bytes over the budget", -budget.Bytes)
@@ -624,8 +625,38 @@
 func (p *pair) replicateBack() {
 	for range 20 {
 		for _, batch := range p.next.TakeReplication(p.nextT, p.now, &Budget{Bytes: 1 << 20}) {
-			p.owner.AddReplication(p.ownerT, &batch, p.now)
-			p.next.AckReplication(1, batch.Sequence)
+			if p.owner.AddReplication(p.ownerT, &batch, p.now) {
+				p.next.AckReplication(1, batch.Sequence)
+			}
+		}
+	}
+}
+
+// Guards against a successor that takes a table named by its number for another
+// one: it must refuse the batch until the source lists the whole set.
+func TestUnknownTableIsSentWhole(t *testing.T) {
+	p := newPair(t, Limits{})
+	p.open(200)
+	p.installOwner(drainFirst)
+	p.now += 5 * time.Second
+	named, whole := 0, 0
+	for range 5 {
+		for _, batch := range p.owner.TakeReplication(p.ownerT, p.now, &Budget{Bytes: 1 << 20}) {
+			references := slices.ContainsFunc(batch.Bases, func(b common.ServiceBase) bool { return isReference(&b) })
+			held := p.next.AddReplication(p.nextT, &batch, p.now)
+			if held == references {
+				t.Errorf("batch with references %v is held: %v", references, held)
+			}
+			if references {
+				named++
+				continue
+			}
+			whole += len(batch.Bases)
+			p.owner.AckReplication(2, batch.Sequence)
 		}
+		p.now += 2 * resendAfter
+	}
+	if named == 0 || whole == 0 {
+		t.Fatalf("%d batches named a table, %d bases were whole", named, whole)
 	}
 }
--- a/internal/decision/flow/takeover_test.go
+++ b/internal/decision/flow/takeover_test.go
@@ -111,8 +111,9 @@
 		if w.dead[to] {
 			continue
 		}
-		w.shards[to].AddReplication(w.tables[to], &batch, w.now)
-		shard.AckReplication(batch.Target, batch.Sequence)
+		if w.shards[to].AddReplication(w.tables[to], &batch, w.now) {
+			shard.AckReplication(batch.Target, batch.Sequence)
+		}
 	}
 }
 
--- a/internal/decision/flow/world_test.go
+++ b/internal/decision/flow/world_test.go
@@ -359,8 +359,7 @@
 			if to == nil || !to.alive || to.frozen || from.cutFrom[to.id] {
 				return
 			}
-			to.shard.AddReplication(to.tables, &batch, w.now)
-			if lost {
+			if held := to.shard.AddReplication(to.tables, &batch, w.now); lost || !held {
 				return
 			}
 			w.after(w.delay(100*time.Millisecond), func() {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -124,29 +124,33 @@
 		if err != nil {
 			return &entrypb.AddReplicationResponse{ResultCode: uint32(codeOf(err))}, nil
 		}
-		s.server.addReplication(batch)
+		if !s.server.addReplication(batch) {
+			return &entrypb.AddReplicationResponse{ResultCode: uint32(resultcode.ReplicationUnknownTable)}, nil
+		}
 	}
 	return &entrypb.AddReplicationResponse{}, nil
 }
 
 // addReplication gives a batch to the shard that it names, or to all when it
-// answers a pull.
-func (s *Server) addReplication(batch *common.ReplicationBatch) {
+// answers a pull. It reports whether the batch is held.
+func (s *Server) addReplication(batch *common.ReplicationBatch) bool {
 	if batch.Sequence != 0 {
-		s.shards[flow.ShardOfSequence(batch.Sequence)].addReplication(batch, s.now())
-		return
+		return s.shards[flow.ShardOfSequence(batch.Sequence)].addReplication(batch, s.now())
 	}
+	held := true
 	for i := range s.shards {
-		s.shards[i].addReplication(batch, s.now())
+		held = s.shards[i].addReplication(batch, s.now()) && held
 	}
+	return held
 }
 
-func (s *shard) addReplication(batch *common.ReplicationBatch, now time.Duration) {
+func (s *shard) addReplication(batch *common.ReplicationBatch, now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.state != nil {
-		s.flows.AddReplication(s.state.tables, batch, now)
+	if s.state == nil {
+		return false
 	}
+	return s.flows.AddReplication(s.state.tables, batch, now)
 }
 
 // PullReplication implements entrypb.Entry.
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -39,6 +39,8 @@
 	SnapshotInvalid     Code = 1112
 	LeaseOldIncarnation Code = 1120
 	ReplicationStale    Code = 1130
+	// ReplicationUnknownTable: the source sends the whole set next.
+	ReplicationUnknownTable Code = 1131
 )
 
 // Admission and refusal: 1200-1299.
