--- a/internal/decision/flow/pull.go
+++ b/internal/decision/flow/pull.go
@@ -35,7 +35,7 @@
 	for i := range batch.SlotBases {
 		listed := &batch.SlotBases[i]
 		var table *lookup.Table
-		if len(listed.Base.Eligible) == 0 && len(listed.Base.Weights) == 1 {
+		if isReference(&listed.Base) {
 			table = known[listed.Base.Weights[0]]
 		} else {
 			table = t.tableOf(&listed.Base)
@@ -52,15 +52,20 @@
 func pulledSlots(t, future *Tables, joiner common.InstanceID) []uint16 {
 	var slots []uint16
 	for slot := range uint16(common.Slots) {
-		owner, _ := t.owners.Owner(slot)
-		next, _ := future.owners.Owner(slot)
-		if owner == t.self && next == joiner {
+		if moves(t, future, joiner, slot) {
 			slots = append(slots, slot)
 		}
 	}
 	return slots
 }
 
+// moves reports whether this instance owns the slot and the joiner will own it.
+func moves(t, future *Tables, joiner common.InstanceID, slot uint16) bool {
+	owner, _ := t.owners.Owner(slot)
+	next, _ := future.owners.Owner(slot)
+	return owner == t.self && next == joiner
+}
+
 func baseOf(service *ServiceTables, key slotService, kept map[slotService]*lookup.Table) *lookup.Table {
 	if table := kept[key]; table != nil {
 		return table
--- a/internal/decision/flow/receive.go
+++ b/internal/decision/flow/receive.go
@@ -127,7 +127,7 @@
 	switch {
 	case len(added.Base.Eligible) > 0:
 		r.slotBases[key] = t.tableOf(&added.Base)
-	case len(added.Base.Weights) == 1:
+	case isReference(&added.Base):
 		if named := findSet(batch.SlotBases[:i], &added.Base); named != nil {
 			r.slotBases[key] = t.tableOf(named)
 		}
--- a/internal/decision/flow/replicate.go
+++ b/internal/decision/flow/replicate.go
@@ -459,9 +459,7 @@
 func (s *Shard) slotsFor(t, future *Tables, joiner common.InstanceID) slotSet {
 	var slots slotSet
 	for local := range s.slots {
-		owner, _ := t.owners.Owner(s.number(local))
-		next, _ := future.owners.Owner(s.number(local))
-		if owner == t.self && next == joiner {
+		if moves(t, future, joiner, s.number(local)) {
 			slots.add(local)
 		}
 	}
