--- /dev/null
+++ b/internal/decision/selection/selection.go
@@ -0,0 +1,246 @@
+// Package selection chooses the endpoint of a new flow from what this instance
+// sees of its own flows: requests without a response, response times, flows that
+// got no answer. Time is passed in; equal inputs give equal choices.
+package selection
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"burdockrelay.example/burdockrelay/internal/directory"
+)
+
+const (
+	// initialResponse is the response time assumed before any was seen.
+	initialResponse = 30 * time.Millisecond
+	// usualShare is the share of one response in the service's usual time.
+	usualShare = 0.02
+	// usualCap bounds the weight of one slow response in the usual time, in
+	// multiples of it: a few very slow endpoints must not become usual.
+	usualCap = 3
+	// remoteCost is what an endpoint in another data centre costs, in response
+	// times: its load is known least, and bytes between data centres are scarce.
+	remoteCost = 0.35
+	// warmUpCost is what an endpoint costs that has just started.
+	warmUpCost = 0.6
+	// waitingCost prefers, of endpoints with a free slot, the emptier one.
+	waitingCost = 0.08
+	// failureCost is the cost of an endpoint all of whose flows fail.
+	failureCost = 20.0
+	// suspectCost puts suspect endpoints behind all others.
+	suspectCost = 1000.0
+)
+
+// Pool holds the endpoints of one service.
+type Pool struct {
+	service    string
+	dataCentre string
+
+	mu      sync.Mutex
+	members []*Member
+	usual   float64 // usual response time in ns
+	choices uint64
+}
+
+// NewPool returns an empty pool of a service for an instance in a data centre.
+func NewPool(service, dataCentre string) *Pool {
+	return &Pool{service: service, dataCentre: dataCentre, usual: float64(initialResponse)}
+}
+
+// Service returns the name of the service.
+func (p *Pool) Service() string { return p.service }
+
+// Update replaces the endpoints of the pool and returns the members in the given
+// order. Members of endpoints that stay keep what is known about them.
+func (p *Pool) Update(endpoints []directory.Endpoint, now time.Duration) []*Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	previous := p.members
+	p.members = make([]*Member, 0, len(endpoints))
+	for _, endpoint := range endpoints {
+		m := find(previous, &endpoint)
+		if m == nil {
+			m = &Member{pool: p, response: 0, aliveAt: now}
+		}
+		m.update(endpoint, now)
+		p.members = append(p.members, m)
+	}
+	for _, m := range previous {
+		m.listed = slices.Contains(p.members, m)
+	}
+	return slices.Clone(p.members)
+}
+
+func find(members []*Member, endpoint *directory.Endpoint) *Member {
+	for _, m := range members {
+		if m.endpoint.SameIncarnation(endpoint) {
+			return m
+		}
+	}
+	return nil
+}
+
+func (m *Member) update(endpoint directory.Endpoint, now time.Duration) {
+	m.listed = true
+	if m.endpoint.Revision != endpoint.Revision {
+		m.warmUntil = now + endpoint.WarmUp
+	}
+	m.endpoint = endpoint
+}
+
+// Choose returns the endpoint for a new flow and counts the flow as a waiting
+// request, or returns nil when no endpoint takes new flows. The endpoint avoid is
+// left out while there is another one.
+func (p *Pool) Choose(now time.Duration, avoid *Member) *Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best := p.cheapest(now, avoid)
+	if best == nil && avoid != nil {
+		best = p.cheapest(now, nil)
+	}
+	if best == nil {
+		return nil
+	}
+	p.choices++
+	best.chosenAt = p.choices
+	best.waiting++
+	return best
+}
+
+func (p *Pool) cheapest(now time.Duration, avoid *Member) *Member {
+	var best *Member
+	var least float64
+	for _, m := range p.members {
+		if m == avoid || m.endpoint.Draining {
+			continue
+		}
+		cost := p.cost(m, now)
+		if best == nil || cost < least || cost == least && m.chosenAt < best.chosenAt {
+			best, least = m, cost
+		}
+	}
+	return best
+}
+
+// cost estimates the time in ns until the endpoint has served one more request.
+func (p *Pool) cost(m *Member, now time.Duration) float64 {
+	response := m.responseTime(now, p.usual)
+	slots := float64(max(m.endpoint.Slots, 1))
+	waiting := float64(m.waiting)
+	factor := 1 + waitingCost*waiting
+	if queued := waiting - slots + 1; queued > 0 {
+		factor += queued / slots
+	}
+	if m.endpoint.DataCentre != p.dataCentre {
+		factor += remoteCost
+	}
+	if now < m.warmUntil {
+		factor += warmUpCost
+	}
+	factor += failureCost * m.failureRate(now)
+	if m.condition == Suspect || m.condition == Probation && m.waiting > 0 {
+		factor += suspectCost
+	}
+	return response * factor
+}
+
+// Requested counts one more request on an open flow.
+func (m *Member) Requested() {
+	m.pool.mu.Lock()
+	defer m.pool.mu.Unlock()
+	m.waiting++
+}
+
+// Responded ends a waiting request whose response began after a time.
+func (m *Member) Responded(now, took time.Duration) {
+	p := m.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m.waiting = max(m.waiting-1, 0)
+	m.addResponse(now, float64(took), p.usual)
+	m.addOutcome(now, false)
+	m.alive(now)
+	capped := min(float64(took), usualCap*p.usual)
+	p.usual += usualShare * (capped - p.usual)
+}
+
+// Abandoned ends a waiting request without a response.
+func (m *Member) Abandoned(now time.Duration) {
+	m.pool.mu.Lock()
+	defer m.pool.mu.Unlock()
+	m.waiting = max(m.waiting-1, 0)
+	m.addOutcome(now, true)
+}
+
+// Moved ends a waiting request that went to another endpoint.
+func (m *Member) Moved() {
+	m.pool.mu.Lock()
+	defer m.pool.mu.Unlock()
+	m.waiting = max(m.waiting-1, 0)
+}
+
+// Alive notes that the endpoint has sent something.
+func (m *Member) Alive(now time.Duration) {
+	m.pool.mu.Lock()
+	defer m.pool.mu.Unlock()
+	m.alive(now)
+}
+
+func (m *Member) alive(now time.Duration) {
+	m.aliveAt = now
+	if m.condition != Healthy {
+		m.setCondition(Healthy, now)
+	}
+}
+
+func (m *Member) setCondition(condition Condition, now time.Duration) {
+	m.condition = condition
+	m.conditionAt = now
+}
+
+// Unanswered notes that a first packet sent at a time got no answer in due time.
+// It reports whether the endpoint has become suspect by it: when it has shown no
+// life since.
+func (m *Member) Unanswered(now, sentAt time.Duration) bool {
+	m.pool.mu.Lock()
+	defer m.pool.mu.Unlock()
+	if m.aliveAt > sentAt {
+		return false
+	}
+	first := m.condition != Suspect
+	m.setCondition(Suspect, now)
+	return first
+}
+
+// Checked takes the result of a health check: a suspect endpoint that passes is
+// on probation.
+func (m *Member) Checked(now time.Duration, passed bool) Condition {
+	m.pool.mu.Lock()
+	defer m.pool.mu.Unlock()
+	if passed && m.condition == Suspect {
+		m.setCondition(Probation, now)
+	}
+	return m.condition
+}
+
+// Status is what is known about a member, for logs and metrics.
+type Status struct {
+	Endpoint  directory.Endpoint
+	Listed    bool
+	Condition Condition
+	Waiting   int
+	// Response is the endpoint's mean response time, Usual the service's.
+	Response, Usual time.Duration
+}
+
+// Status returns what is known about the member.
+func (m *Member) Status(now time.Duration) Status {
+	p := m.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Status{
+		Endpoint: m.endpoint, Listed: m.listed, Condition: m.condition, Waiting: m.waiting,
+		Response: time.Duration(m.responseTime(now, p.usual)), Usual: time.Duration(p.usual),
+	}
+}
--- /dev/null
+++ b/internal/decision/steering/steering.go
@@ -0,0 +1,209 @@
+// Package steering decides where each packet of a labelled flow goes. The flow's
+// endpoint is named by a label that both ends return in every packet, so that any
+// instance, also one that has just started, sends the flow to its endpoint
+// without shared state. It has no clock, socket or goroutine.
+package steering
+
+import (
+	"net/netip"
+	"time"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/decision/label"
+	"burdockrelay.example/burdockrelay/internal/decision/selection"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+)
+
+// Packet is what steering reads of a packet.
+type Packet struct {
+	Tuple common.FiveTuple
+	Hash  common.FlowHash
+	// First is set for a packet that opens a flow.
+	First           bool
+	Fin, Reset      bool
+	Label           label.Label
+	Sequence        uint32
+	Acknowledgement uint32
+	Length          int
+}
+
+// Kind is what happens to a packet.
+type Kind uint8
+
+// Kinds of actions.
+const (
+	Drop Kind = iota
+	Forward
+	Refuse
+)
+
+// Action is the decision on one packet.
+type Action struct {
+	Kind Kind
+	Code resultcode.Code
+	// Member is the endpoint to forward to, Label the flow's label.
+	Member *selection.Member
+	Label  label.Label
+	// Decided is set when the packet led to a decision of its own: a choice of
+	// an endpoint, a refusal, a drop, the end of a flow.
+	Decided bool
+	// Copies counts the repeated first packets of the flow.
+	Copies uint8
+	// Suspected is set when the flow's former endpoint became suspect.
+	Suspected *selection.Member
+}
+
+// Freshness is how old the knowledge is that a packet is decided by.
+type Freshness struct {
+	// Known is false while the instance has no configuration.
+	Known bool
+	// Age is the time since the store, or a peer that read it, confirmed it.
+	Age time.Duration
+	// Complete is set when the list of endpoints is confirmed and the store has
+	// not just come back from an outage: an endpoint that is not on it is gone.
+	Complete bool
+}
+
+const (
+	// maxRefusalAge is the age of the configuration up to which an unknown
+	// address is refused; the caller's next copy of the packet finds newer
+	// knowledge otherwise.
+	maxRefusalAge = 1500 * time.Millisecond
+	// copiesBeforeMove is the number of copies of a first packet after which
+	// the flow moves even from an endpoint that answers others.
+	copiesBeforeMove = 2
+)
+
+// Handle decides on a packet.
+func (t *Table) Handle(v *View, p *Packet, fresh Freshness, now time.Duration) Action {
+	s := &t.shards[uint64(p.Hash)>>(64-shardBits)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.First {
+		return s.first(v, p, fresh, now)
+	}
+	return s.established(v, p, fresh, now)
+}
+
+func address(t *common.FiveTuple) common.ServiceAddress {
+	return common.ServiceAddress{Address: netip.AddrFrom4(t.Destination), Port: t.DestinationPort, Protocol: t.Protocol}
+}
+
+func (s *shard) first(v *View, p *Packet, fresh Freshness, now time.Duration) Action {
+	r := v.routes[address(&p.Tuple)]
+	f := s.flows[p.Tuple]
+	if f != nil && f.sequence == p.Sequence {
+		return s.repeated(v, r, f, p, now)
+	}
+	if f != nil {
+		s.end(f, now)
+	}
+	if r == nil {
+		return noRoute(fresh)
+	}
+	pool := r.pick(p.Hash)
+	if pool == nil {
+		return refusal(resultcode.RefusedNoEndpoint)
+	}
+	if len(s.flows) >= s.capacity {
+		return refusal(resultcode.RefusedTableFull)
+	}
+	m := pool.Choose(now, nil)
+	if m == nil {
+		return noEndpoint(fresh)
+	}
+	f = &flow{tuple: p.Tuple, sequence: p.Sequence, member: m, label: v.ownLabels[m], openedAt: now, sentAt: now, seenAt: now, waiting: true}
+	s.flows[p.Tuple] = f
+	return Action{Kind: Forward, Code: resultcode.PacketForwarded, Member: m, Label: f.label, Decided: true}
+}
+
+func noRoute(fresh Freshness) Action {
+	switch {
+	case !fresh.Known:
+		return Action{Kind: Drop, Code: resultcode.DroppedNoTables, Decided: true}
+	case fresh.Age > maxRefusalAge:
+		return Action{Kind: Drop, Code: resultcode.PacketNoService, Decided: true}
+	default:
+		return refusal(resultcode.PacketNoService)
+	}
+}
+
+// noEndpoint refuses a flow at once when the list of endpoints can be trusted;
+// otherwise the caller's next copy of the packet may find one.
+func noEndpoint(fresh Freshness) Action {
+	if !fresh.Complete {
+		return Action{Kind: Drop, Code: resultcode.RefusedNoEndpoint, Decided: true}
+	}
+	return refusal(resultcode.RefusedNoEndpoint)
+}
+
+func refusal(code resultcode.Code) Action {
+	return Action{Kind: Refuse, Code: code, Decided: true}
+}
+
+// repeated handles a copy of the first packet of a known flow. It goes where the
+// first one went, unless that endpoint shows no life or takes no new flows: two
+// endpoints that answer would leave the caller with the label of the wrong one.
+func (s *shard) repeated(v *View, r *route, f *flow, p *Packet, now time.Duration) Action {
+	f.seenAt = now
+	if f.answered {
+		return Action{Kind: Drop, Code: resultcode.DroppedLateCopy}
+	}
+	f.copies++
+	action := Action{Kind: Forward, Code: resultcode.PacketForwarded, Decided: true, Copies: f.copies}
+	former := f.member
+	silent := former.Unanswered(now, f.sentAt)
+	if silent {
+		action.Suspected = former
+	}
+	status := former.Status(now)
+	move := status.Condition == selection.Suspect || f.copies >= copiesBeforeMove || status.Endpoint.Draining || !status.Listed
+	if move && r != nil {
+		if pool := r.pick(p.Hash); pool != nil {
+			s.move(v, f, pool.Choose(now, former), now)
+		}
+	}
+	f.sentAt = now
+	action.Member, action.Label = f.member, f.label
+	return action
+}
+
+func (s *shard) move(v *View, f *flow, to *selection.Member, now time.Duration) {
+	if to == nil {
+		return
+	}
+	if f.waiting {
+		f.member.Moved()
+	}
+	f.member, f.label = to, v.ownLabels[to]
+	f.waiting = true
+	f.openedAt = now
+}
+
+// established handles a packet in the middle of a flow.
+func (s *shard) established(v *View, p *Packet, fresh Freshness, now time.Duration) Action {
+	f := s.flows[p.Tuple]
+	m := v.resolve(p.Label)
+	if f != nil {
+		if kept := f.follow(p, m, now); kept != nil {
+			m = kept
+		}
+	}
+	if m == nil {
+		return s.unknownLabel(p, fresh)
+	}
+	action := Action{Kind: Forward, Code: resultcode.PacketForwarded, Member: m, Label: p.Label}
+	if p.Fin || p.Reset {
+		action.Decided = s.finish(f, now)
+	}
+	return action
+}
+
+// unknownLabel handles a packet whose endpoint is not known. It is refused only
+// when the endpoint cannot be one that this instance has not heard of yet.
+func (s *shard) unknownLabel(p *Packet, fresh Freshness) Action {
+	if !fresh.Complete || p.Reset {
+		return Action{Kind: Drop, Code: resultcode.RouteUnknownFlow, Decided: true}
+	}
+	return refusal(resultcode.RouteEndpointGone)
+}
--- /dev/null
+++ b/internal/decision/steering/table.go
@@ -0,0 +1,194 @@
+package steering
+
+import (
+	"sync"
+	"time"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/decision/label"
+	"burdockrelay.example/burdockrelay/internal/decision/selection"
+)
+
+const (
+	shardBits = 4
+	// Shards is the number of parts of the flow table, each under its own lock.
+	Shards = 1 << shardBits
+	// windowBytes is more than the bytes in flight on a flow: an acknowledgement
+	// within it of an earlier one belongs to the same endpoint.
+	windowBytes = 1 << 20
+)
+
+// Table holds the flows that this instance has opened. Other flows are steered by
+// their label alone. Losing the table loses what is known of load, not flows.
+type Table struct {
+	shards [Shards]shard
+}
+
+type shard struct {
+	mu       sync.Mutex
+	capacity int
+	flows    map[common.FiveTuple]*flow
+}
+
+// flow is one flow that was opened through this instance.
+type flow struct {
+	tuple    common.FiveTuple
+	sequence uint32
+	member   *selection.Member
+	label    label.Label
+	// copies counts the repeated first packets.
+	copies uint8
+	// answered is set once the caller has acknowledged the endpoint.
+	answered bool
+	// finished is set once the caller has ended the flow.
+	finished bool
+	// waiting is set while a request has no response.
+	waiting bool
+	// acknowledged is the caller's last acknowledgement, sent the end of the
+	// caller's data.
+	acknowledged, sent uint32
+	openedAt           time.Duration
+	sentAt             time.Duration
+	// requestedAt is when the request that waits was sent, seenAt the time of
+	// the last packet.
+	requestedAt, seenAt time.Duration
+}
+
+// NewTable returns a table for at most capacity flows.
+func NewTable(capacity int) *Table {
+	t := &Table{}
+	for i := range t.shards {
+		t.shards[i].capacity = max(capacity/Shards, 1)
+		t.shards[i].flows = make(map[common.FiveTuple]*flow)
+	}
+	return t
+}
+
+// Len returns the number of flows.
+func (t *Table) Len() int {
+	sum := 0
+	for i := range t.shards {
+		t.shards[i].mu.Lock()
+		sum += len(t.shards[i].flows)
+		t.shards[i].mu.Unlock()
+	}
+	return sum
+}
+
+// follow takes a packet of a known flow from the caller. It returns the endpoint
+// that the flow is kept on when the label names another one.
+func (f *flow) follow(p *Packet, named *selection.Member, now time.Duration) *selection.Member {
+	f.seenAt = now
+	if !f.answered {
+		if named == nil {
+			return nil
+		}
+		f.open(p, named, now)
+	}
+	if p.Acknowledgement-f.acknowledged > windowBytes {
+		return nil
+	}
+	f.progress(p, now)
+	return f.member
+}
+
+// open takes the first packet behind the handshake: the caller has acknowledged
+// the endpoint that the label names.
+func (f *flow) open(p *Packet, named *selection.Member, now time.Duration) {
+	if named != f.member {
+		if f.waiting {
+			f.member.Moved()
+			named.Requested()
+		}
+		f.member, f.label = named, p.Label
+	}
+	f.answered = true
+	f.acknowledged = p.Acknowledgement
+	f.sent = p.Sequence
+	f.requestedAt = now
+	f.member.Alive(now)
+}
+
+// progress follows requests and responses: new data of the caller is a request,
+// a higher acknowledgement a response.
+func (f *flow) progress(p *Packet, now time.Duration) {
+	if advanced := p.Acknowledgement - f.acknowledged; advanced > 0 && advanced <= windowBytes {
+		f.acknowledged = p.Acknowledgement
+		if f.waiting {
+			f.waiting = false
+			f.member.Responded(now, now-f.requestedAt)
+		}
+	}
+	end := p.Sequence + uint32(p.Length)
+	if p.Length == 0 || int32(end-f.sent) <= 0 {
+		return
+	}
+	f.sent = end
+	if !f.waiting {
+		f.waiting = true
+		f.requestedAt = now
+		f.member.Requested()
+	}
+}
+
+// finish ends the request of a flow that the caller closes. It reports whether
+// this is the end of the flow, not a copy of it.
+func (s *shard) finish(f *flow, now time.Duration) bool {
+	if f == nil || f.finished {
+		return false
+	}
+	f.finished = true
+	if f.waiting {
+		f.waiting = false
+		f.member.Abandoned(now)
+	}
+	return true
+}
+
+func (s *shard) end(f *flow, now time.Duration) {
+	s.finish(f, now)
+	delete(s.flows, f.tuple)
+}
+
+const (
+	// finishedLife is how long a closed flow is kept for repeated packets.
+	finishedLife = 5 * time.Second
+	// unansweredLife is how long a flow is kept that was never acknowledged:
+	// longer than a caller tries to open it.
+	unansweredLife = 3 * time.Second
+	// DefaultIdleTimeout ends a flow without packets while no configuration
+	// gives a time.
+	DefaultIdleTimeout = 15 * time.Second
+)
+
+// Expire ends the flows of one shard that are over.
+func (t *Table) Expire(index int, idleTimeout, now time.Duration) int {
+	s := &t.shards[index]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if idleTimeout <= 0 {
+		idleTimeout = DefaultIdleTimeout
+	}
+	ended := 0
+	for _, f := range s.flows {
+		if now-f.seenAt >= f.life(idleTimeout) {
+			s.end(f, now)
+			ended++
+		}
+	}
+	return ended
+}
+
+func (f *flow) life(idleTimeout time.Duration) time.Duration {
+	switch {
+	case f.finished:
+		return min(finishedLife, idleTimeout)
+	case !f.answered:
+		return unansweredLife
+	default:
+		return idleTimeout
+	}
+}
+
+// IdleTimeout returns the time after which a flow without packets ends.
+func (v *View) IdleTimeout() time.Duration { return v.idleTimeout }
--- /dev/null
+++ b/internal/decision/steering/view.go
@@ -0,0 +1,103 @@
+package steering
+
+import (
+	"math"
+	"time"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/decision/label"
+	"burdockrelay.example/burdockrelay/internal/decision/selection"
+	"burdockrelay.example/burdockrelay/internal/directory"
+)
+
+// View is what packets are steered by: the rules of one configuration and the
+// endpoints known at one time. It is immutable.
+type View struct {
+	version     uint64
+	idleTimeout time.Duration
+	routes      map[common.ServiceAddress]*route
+	members     []*selection.Member
+	labels      *label.Table
+	ownLabels   map[*selection.Member]label.Label
+}
+
+// route is one rule with the pools of its services.
+type route struct {
+	rule    directory.Rule
+	pools   []*selection.Pool
+	weights uint64
+}
+
+// Labelled is a member with what its labels depend on.
+type Labelled struct {
+	Member *selection.Member
+	Holder label.Holder
+}
+
+// NewView returns the view of a configuration, nil for none, and of the known
+// endpoints: those listed and those that have left and may still have flows. pool
+// returns the pool of a service.
+func NewView(configuration *directory.Configuration, known []Labelled, pool func(service string) *selection.Pool) *View {
+	v := &View{
+		routes:    make(map[common.ServiceAddress]*route),
+		ownLabels: make(map[*selection.Member]label.Label, len(known)),
+	}
+	holders := make([]label.Holder, len(known))
+	for i, k := range known {
+		holders[i] = k.Holder
+		v.members = append(v.members, k.Member)
+	}
+	v.labels = label.Build(holders)
+	for i, m := range v.members {
+		v.ownLabels[m] = v.labels.Own(i)
+	}
+	if configuration == nil {
+		return v
+	}
+	v.version = configuration.Version
+	v.idleTimeout = configuration.IdleTimeout
+	for _, rule := range configuration.Rules {
+		v.routes[rule.Address] = newRoute(rule, pool)
+	}
+	return v
+}
+
+func newRoute(rule directory.Rule, pool func(string) *selection.Pool) *route {
+	r := &route{rule: rule}
+	for _, target := range rule.Targets {
+		r.pools = append(r.pools, pool(target.Service))
+		r.weights += uint64(target.Weight)
+	}
+	return r
+}
+
+// pick returns the pool for a new flow. All instances pick the same one for a
+// flow, so that copies of its first packet reach one service.
+func (r *route) pick(hash common.FlowHash) *selection.Pool {
+	if r.weights == 0 {
+		return nil
+	}
+	// The high bits of the hash scaled to the sum of the weights.
+	point := uint64(float64(uint64(hash)>>1) / float64(math.MaxInt64) * float64(r.weights))
+	for i, target := range r.rule.Targets {
+		if point < uint64(target.Weight) {
+			return r.pools[i]
+		}
+		point -= uint64(target.Weight)
+	}
+	return r.pools[len(r.pools)-1]
+}
+
+// Version returns the version of the configuration, 0 for none.
+func (v *View) Version() uint64 { return v.version }
+
+// Collisions returns the number of labels that several endpoints could have.
+func (v *View) Collisions() int { return v.labels.Collisions }
+
+func (v *View) resolve(l label.Label) *selection.Member {
+	position, found := v.labels.Resolve(l)
+	if !found {
+		return nil
+	}
+	return v.members[position]
+}
--- /dev/null
+++ b/internal/ingress/server.go
@@ -0,0 +1,177 @@
+// Package ingress takes the packets of callers from the routers, has each one
+// decided and sends it on.
+package ingress
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	tomb "gopkg.in/tomb.v2"
+
+	"burdockrelay.example/burdockrelay/internal/decision/label"
+	"burdockrelay.example/burdockrelay/internal/decision/steering"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+)
+
+// Codec reads and writes packets in the form of the routers.
+type Codec interface {
+	// Decode reads the head of a packet and returns resultcode.OK, or the reason
+	// for dropping it.
+	Decode(data []byte, p *steering.Packet) resultcode.Code
+	// SetLabel writes the label of the flow into a packet.
+	SetLabel(data []byte, l label.Label)
+	// EnvelopeSize is the number of bytes before a packet to an endpoint.
+	EnvelopeSize() int
+	// SetEnvelope writes the identity of the endpoint that the packet is for.
+	SetEnvelope(data []byte, number uint64)
+	// AppendReset appends the packet that refuses a flow.
+	AppendReset(out []byte, p *steering.Packet) []byte
+}
+
+// Knowledge is what packets are decided by.
+type Knowledge interface {
+	// Current returns the present view and how old it is.
+	Current() (*steering.View, steering.Freshness)
+	// Now returns the time of the decisions.
+	Now() time.Duration
+}
+
+// Observer is told of every packet. It must not block.
+type Observer interface {
+	Handled(p *steering.Packet, action steering.Action, fresh steering.Freshness, now time.Duration)
+	Dropped(code resultcode.Code)
+}
+
+const (
+	// maxPacketBytes is above the longest packet of a caller.
+	maxPacketBytes = 4096
+	// receiveBufferBytes holds packets while the process does not run: about a
+	// second of 2,000 packets of 1,200 bytes.
+	receiveBufferBytes = 4 << 20
+)
+
+// Server moves packets from one socket to endpoints.
+type Server struct {
+	socket    *net.UDPConn
+	codec     Codec
+	knowledge Knowledge
+	observer  Observer
+	flows     *steering.Table
+	tomb      tomb.Tomb
+	received  atomic.Int64 // time of the last packet
+}
+
+// Listen opens the socket. Packets wait in it until Start.
+func Listen(address netip.AddrPort, codec Codec, knowledge Knowledge, observer Observer, maxFlows int) (*Server, error) {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, fmt.Errorf("open UDP socket on %s: %w", address, err)
+	}
+	if err := socket.SetReadBuffer(receiveBufferBytes); err != nil {
+		_ = socket.Close()
+		return nil, fmt.Errorf("set receive buffer: %w", err)
+	}
+	return &Server{
+		socket: socket, codec: codec, knowledge: knowledge, observer: observer,
+		flows: steering.NewTable(maxFlows),
+	}, nil
+}
+
+// Start begins to handle packets.
+func (s *Server) Start() {
+	s.tomb.Go(s.run)
+	s.tomb.Go(s.expire)
+}
+
+// Dead is closed when the server has ended.
+func (s *Server) Dead() <-chan struct{} { return s.tomb.Dead() }
+
+// Flows returns the number of flows opened here.
+func (s *Server) Flows() int { return s.flows.Len() }
+
+// LastPacket returns when the last packet came.
+func (s *Server) LastPacket() time.Duration { return time.Duration(s.received.Load()) }
+
+// Stop ends the server and returns the error that ended it, if any.
+func (s *Server) Stop() error {
+	s.tomb.Kill(nil)
+	_ = s.socket.Close()
+	return s.tomb.Wait()
+}
+
+func (s *Server) run() error {
+	envelope := s.codec.EnvelopeSize()
+	buffer := make([]byte, envelope+maxPacketBytes)
+	for {
+		n, _, err := s.socket.ReadFromUDPAddrPort(buffer[envelope:])
+		if !s.tomb.Alive() {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("receive packets: %w", err)
+		}
+		s.handle(buffer, buffer[envelope:envelope+n])
+	}
+}
+
+// handle decides on one packet, which lies in the buffer behind the room for the
+// envelope, and sends it on.
+func (s *Server) handle(buffer, data []byte) {
+	var p steering.Packet
+	now := s.knowledge.Now()
+	s.received.Store(int64(now))
+	if code := s.codec.Decode(data, &p); code != resultcode.OK {
+		s.observer.Dropped(code)
+		return
+	}
+	view, fresh := s.knowledge.Current()
+	action := s.flows.Handle(view, &p, fresh, now)
+	s.observer.Handled(&p, action, fresh, now)
+	switch action.Kind {
+	case steering.Forward:
+		s.forward(buffer[:s.codec.EnvelopeSize()+len(data)], data, action)
+	case steering.Refuse:
+		s.refuse(&p)
+	}
+}
+
+func (s *Server) forward(buffer, data []byte, action steering.Action) {
+	endpoint := action.Member.Endpoint()
+	s.codec.SetLabel(data, action.Label)
+	s.codec.SetEnvelope(buffer, endpoint.Number)
+	s.send(buffer, endpoint.Address)
+}
+
+// refuse sends a reset to the caller, at the port of its address that takes
+// packets as ours does.
+func (s *Server) refuse(p *steering.Packet) {
+	port := s.socket.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+	s.send(s.codec.AppendReset(nil, p), netip.AddrPortFrom(netip.AddrFrom4(p.Tuple.Source), port))
+}
+
+func (s *Server) send(data []byte, to netip.AddrPort) {
+	if _, err := s.socket.WriteToUDPAddrPort(data, to); err != nil && s.tomb.Alive() {
+		s.observer.Dropped(resultcode.PacketSendFailed)
+	}
+}
+
+// expireInterval is the time between two sweeps of a part of the flow table.
+const expireInterval = 250 * time.Millisecond
+
+// expire ends idle flows, one part of the table at a time.
+func (s *Server) expire() error {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for index := 0; ; index = (index + 1) % steering.Shards {
+		select {
+		case <-s.tomb.Dying():
+			return nil
+		case <-ticker.C:
+			view, _ := s.knowledge.Current()
+			s.flows.Expire(index, view.IdleTimeout(), s.knowledge.Now())
+		}
+	}
+}
--- /dev/null
+++ b/internal/objectstore/objectstore.go
@@ -0,0 +1,56 @@
+// Package objectstore is the interface of a store of named objects that has one
+// revision counter, conditional updates and watches.
+package objectstore
+
+import (
+	"context"
+	"time"
+)
+
+// Object is one object with its content still encoded.
+type Object struct {
+	Kind string
+	Name string
+	// Revision is the store's revision of the object's last change.
+	Revision uint64
+	Content  []byte
+}
+
+// Listing is a part of the objects of a kind.
+type Listing struct {
+	Objects []Object
+	// Revision is the store's revision when the list was made.
+	Revision uint64
+	// More is set when the list goes on behind the last name.
+	More bool
+}
+
+// Event is one change of an object.
+type Event struct {
+	Object  Object
+	Deleted bool
+}
+
+// Changes are the events of a kind after a revision.
+type Changes struct {
+	Events []Event
+	// Revision is where the next watch continues.
+	Revision uint64
+}
+
+// Store is a store of objects. Errors carry the result codes of the platform
+// (4000 to 4099).
+type Store interface {
+	// List returns the objects of a kind whose names are after a name.
+	List(ctx context.Context, kind, after string) (Listing, error)
+	// Get returns one object.
+	Get(ctx context.Context, kind, name string) (Object, error)
+	// Create writes a new object.
+	Create(ctx context.Context, object Object) (Object, error)
+	// Update replaces an object that still has its revision.
+	Update(ctx context.Context, object Object) (Object, error)
+	// Delete removes an object that still has the revision; 0 removes any.
+	Delete(ctx context.Context, kind, name string, revision uint64) error
+	// Watch waits for changes after a revision for at most a time.
+	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (Changes, error)
+}
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -51,6 +51,7 @@
 	RefusedRateLimit     Code = 1203
 	DroppedFirstData     Code = 1210
 	DroppedNoTables      Code = 1211
+	DroppedLateCopy      Code = 1212
 )
 
 // Configuration decoding: 2000-2099.
@@ -114,6 +115,7 @@
 	PlatformBudget      Code = 4005
 	PlatformUncertain   Code = 4006
 	PlatformExpired     Code = 4007
+	PlatformBadObject   Code = 4008
 )
 
 // Membership and peers: 5000-5099.
