--- a/binaries/burdock-relayd/main.go
+++ b/binaries/burdock-relayd/main.go
@@ -1,79 +1,124 @@
-// Command burdock-relayd is an entry instance on the users' platform: it steers
-// the packets of callers to endpoints by the labels of their flows.
+// Command burdock-relayd is an entry instance on the users' platform: it steers the
+// packets of callers to endpoints by the labels of their flows.
 package main
 
 import (
 	"context"
 	"flag"
 	"fmt"
-	"net"
-	"net/http"
 	"os"
 	"os/signal"
-	"sync/atomic"
+	"runtime/debug"
 	"syscall"
-	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
 
-	"burdockrelay.example/burdockrelay/internal/decision/steering"
-	"burdockrelay.example/burdockrelay/internal/discovery"
-	"burdockrelay.example/burdockrelay/internal/ingress"
 	"burdockrelay.example/burdockrelay/internal/observe"
-	"burdockrelay.example/burdockrelay/internal/resultcode"
+	"burdockrelay.example/burdockrelay/internal/relayd"
 	"burdockrelay.example/burdockrelay/internal/settings"
 	"burdockrelay.example/burdockrelay/platform"
 )
 
-type nullObserver struct{}
+const program = "burdock-relayd"
 
-func (nullObserver) Handled(*steering.Packet, steering.Action, steering.Freshness, time.Duration) {}
-func (nullObserver) Dropped(resultcode.Code)                                                      {}
+// Exit codes, as those of burdockctl.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+	exitFaults = 3
+)
 
 func main() {
-	path := flag.String("settings", os.Getenv("BURDOCKRELAY_BOOT"), "settings `file`")
+	os.Exit(run())
+}
+
+func run() int {
+	path := flag.String("settings", platform.SettingsPath(), "settings `file`")
+	check := flag.Bool("check-settings", false, "check the settings and exit")
+	version := flag.Bool("version", false, "print the version and exit")
 	flag.Parse()
+	if flag.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "%s: unexpected argument %q\n", program, flag.Arg(0))
+		return exitUsage
+	}
+	if *version {
+		fmt.Println(program, buildVersion())
+		return exitDone
+	}
 	loaded, err := settings.Load[settings.Relay](*path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(3)
+		return exitFaults
+	}
+	if *check {
+		fmt.Println(*path, "has no faults")
+		return exitDone
+	}
+	if err := serve(*path, loaded); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
+		return exitFailed
+	}
+	return exitDone
+}
+
+func buildVersion() string {
+	info, found := debug.ReadBuildInfo()
+	if !found {
+		return "unknown"
 	}
-	logger, _ := observe.NewLogger(os.Stdout, loaded.LogLevel, "burdock-relayd")
-	clock := func() time.Duration {
-		var ts unix.Timespec
-		_ = unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts)
-		return time.Duration(ts.Nano())
+	return info.Main.Version
+}
+
+// serve runs until a signal or a fault ends it.
+func serve(path string, loaded *settings.Relay) error {
+	// A log reader that has gone away must not end the process.
+	signal.Ignore(syscall.SIGPIPE)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	stops := make(chan os.Signal, 2)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+
+	level, err := zap.ParseAtomicLevel(loaded.LogLevel)
+	if err != nil {
+		return err
 	}
-	knowledge := discovery.NewKnowledge(loaded.DataCentre, clock)
-	server, err := ingress.Listen(loaded.PacketListen, platform.PacketCodec{}, knowledge, nullObserver{}, int(loaded.MaxFlows))
+	output := observe.NewAsyncWriter(os.Stdout, program)
+	defer output.Close()
+	logger := observe.NewLeveledLogger(output, level, program)
+	instance, err := relayd.Start(loaded, adapter(loaded, logger), logger)
 	if err != nil {
-		logger.Fatal("start", zap.Error(err))
+		logger.Error("start_failed", zap.Error(err))
+		return err
 	}
-	source := &platform.Source{Store: platform.NewStore(loaded.Store, 500*time.Millisecond), Logger: logger}
-	reader := &discovery.Reader{Source: source, Knowledge: knowledge, Logger: logger}
+	logger.Info("started", zap.String("instance", loaded.Instance), zap.String("data_centre", loaded.DataCentre),
+		zap.Stringer("packets", loaded.PacketListen), zap.String("version", buildVersion()),
+		zap.Duration("apply_deadline", loaded.ApplyDeadline), zap.Duration("drain_deadline", loaded.DrainDeadline))
 	ctx, cancel := context.WithCancel(context.Background())
-	go func() { _ = reader.Run(ctx) }()
-	server.Start()
-	var stopping atomic.Bool
-	listener, err := net.Listen("tcp", loaded.ReadyListen.String())
-	if err != nil {
-		logger.Fatal("start", zap.Error(err))
+	defer cancel()
+	reloader := &relayd.Reloader{Path: path, Instance: instance, Level: level, Logger: logger}
+	go reloader.Run(ctx, reloads)
+	return wait(instance, stops, logger)
+}
+
+func wait(instance *relayd.Instance, stops <-chan os.Signal, logger *zap.Logger) error {
+	select {
+	case <-instance.Dying():
+		err := instance.Kill()
+		logger.Error("ended_by_fault", zap.Error(err))
+		return err
+	case received := <-stops:
+		logger.Info("stopping", zap.Stringer("signal", received))
+	}
+	return instance.Stop()
+}
+
+func adapter(loaded *settings.Relay, logger *zap.Logger) relayd.Adapter {
+	store := platform.NewStore(loaded.Store)
+	return relayd.Adapter{
+		Codec:   platform.PacketCodec{},
+		Store:   store,
+		Source:  &platform.Source{Store: store, Logger: logger},
+		Checker: platform.NewHealthChecker(),
 	}
-	ready := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, fresh := knowledge.Current()
-		if stopping.Load() || !fresh.Known {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})}
-	go func() { _ = ready.Serve(listener) }()
-	logger.Info("started")
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	signal.Ignore(syscall.SIGHUP)
-	<-signals
-	stopping.Store(true)
-	time.Sleep(3 * time.Second)
-	cancel()
-	_ = server.Stop()
 }
--- /dev/null
+++ b/internal/decision/freshness/freshness.go
@@ -0,0 +1,313 @@
+// Package freshness decides when an instance asks which peer for what it knows of
+// the store, and when it reads the store itself.
+//
+// Calls to the store are few and bytes between peers are cheap. So the peers form
+// one order that all instances compute alike; the first one that answers, the
+// reader, reads the store at intervals, and the others ask it. What an instance
+// knows has an age: the time since a linearizable read began that confirmed it.
+// An age above a limit is what makes an instance read by itself, whatever has
+// failed: the reader, the paths between peers, or a store that tells its watchers
+// nothing. Time is passed in.
+package freshness
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Settings are the limits of a plan.
+type Settings struct {
+	// Interval is the time between two reads of the reader, and between two
+	// questions of the others.
+	Interval time.Duration
+	// MaxAge is the age from which an instance reads the store itself.
+	MaxAge time.Duration
+	// FollowersPerReader bounds how many instances one reader answers.
+	FollowersPerReader int
+	// PeerRest is how long a peer that did not answer is passed over; it doubles
+	// with each failure up to MaxPeerRest.
+	PeerRest, MaxPeerRest time.Duration
+	// MaxBackoff bounds the time between reads that fail.
+	MaxBackoff time.Duration
+}
+
+const (
+	intervalsPerBound = 4
+	minInterval       = 100 * time.Millisecond
+	maxInterval       = 1500 * time.Millisecond
+	// ageIntervals is the limit of the age in intervals. With intervalsPerBound
+	// it leaves half the bound for the read itself, which may find its first
+	// connection silent.
+	ageIntervals              = 2
+	defaultFollowersPerReader = 64
+	defaultPeerRest           = 2 * time.Second
+	defaultMaxPeerRest        = 30 * time.Second
+	// blankInterval is the time between failing reads while nothing is known.
+	blankInterval = 100 * time.Millisecond
+	// readPart is the part of an interval that is left to the reader for a read.
+	readPart = 16
+	// leastAskPart is the part of an interval that is at least between questions.
+	leastAskPart = 4
+	// firstRetryPart is the part of an interval before the first repetition of a
+	// read: a single failure is most often a connection that has gone silent.
+	firstRetryPart = 8
+	// maxDoublings bounds the growth of the time between failing reads.
+	maxDoublings = 8
+	// stagger spreads the instances over a quarter of an interval when all start
+	// to read by themselves, so that the first ones can tell the others.
+	stagger = 4
+)
+
+// SettingsFor returns the settings that keep a bound between a change in the
+// store and its effect.
+func SettingsFor(bound time.Duration) Settings {
+	interval := min(max(bound/intervalsPerBound, minInterval), maxInterval)
+	return Settings{
+		Interval:           interval,
+		MaxAge:             ageIntervals * interval,
+		FollowersPerReader: defaultFollowersPerReader,
+		PeerRest:           defaultPeerRest,
+		MaxPeerRest:        defaultMaxPeerRest,
+		MaxBackoff:         2 * interval,
+	}
+}
+
+// Plan is the plan of one instance.
+type Plan struct {
+	settings Settings
+	self     string
+	// order holds the peers and the instance itself.
+	order []*peer
+
+	known       bool
+	confirmedAt time.Duration
+
+	reading     bool
+	readBegan   time.Duration
+	failures    int
+	nextRead    time.Duration
+	asking      string
+	askedAt     time.Duration
+	nextAsk     time.Duration
+	neverTried  bool
+	staggerPart time.Duration
+}
+
+type peer struct {
+	name   string
+	weight uint64
+	// restUntil is when a peer that did not answer is asked again, failedAt when
+	// it was last asked in vain, failures how often in a row.
+	restUntil time.Duration
+	failedAt  time.Duration
+	failures  int
+}
+
+// NewPlan returns the plan of an instance that knows nothing.
+func NewPlan(self string, settings Settings) *Plan {
+	p := &Plan{settings: settings, self: self, neverTried: true}
+	p.staggerPart = settings.Interval / stagger * time.Duration(xxhash.Sum64String(self)%stagger) / stagger
+	p.SetPeers(nil)
+	return p
+}
+
+// SetSettings changes the limits.
+func (p *Plan) SetSettings(settings Settings) { p.settings = settings }
+
+// SetPeers sets the names of the other instances.
+func (p *Plan) SetPeers(names []string) {
+	order := []*peer{{name: p.self, weight: xxhash.Sum64String(p.self)}}
+	for _, name := range names {
+		if name == p.self {
+			continue
+		}
+		if known := p.find(name); known != nil {
+			order = append(order, known)
+			continue
+		}
+		order = append(order, &peer{name: name, weight: xxhash.Sum64String(name)})
+	}
+	slices.SortFunc(order, func(a, b *peer) int {
+		return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.name, b.name))
+	})
+	p.order = order
+}
+
+// Age returns the time since what is known was confirmed, false when nothing is
+// known.
+func (p *Plan) Age(now time.Duration) (time.Duration, bool) {
+	return max(now-p.confirmedAt, 0), p.known
+}
+
+// Step is what to do now. Wake is when to ask for the next step if nothing has
+// happened before.
+type Step struct {
+	Read bool
+	Ask  string
+	Wake time.Duration
+}
+
+// Next returns what to do now.
+func (p *Plan) Next(now time.Duration) Step {
+	step := Step{Wake: now + p.settings.Interval}
+	reader := p.reader(now)
+	if reader != p.self {
+		p.planAsk(&step, reader, now)
+	}
+	p.planRead(&step, reader == p.self, now)
+	return step
+}
+
+// readers is the number of instances that read the store when all is well.
+func (p *Plan) readers() int {
+	return 1 + (len(p.order)-1)/max(p.settings.FollowersPerReader, 1)
+}
+
+// reader returns the instance to ask: this one if it is one of the first that are
+// not passed over, else the one of them that its hash picks.
+func (p *Plan) reader(now time.Duration) string {
+	var first []string
+	for _, candidate := range p.order {
+		if candidate.name != p.self && candidate.restUntil > now {
+			continue
+		}
+		first = append(first, candidate.name)
+		if len(first) == p.readers() {
+			break
+		}
+	}
+	if slices.Contains(first, p.self) {
+		return p.self
+	}
+	return first[xxhash.Sum64String(p.self)%uint64(len(first))]
+}
+
+func (p *Plan) planAsk(step *Step, reader string, now time.Duration) {
+	if p.asking != "" {
+		return
+	}
+	if now < p.nextAsk {
+		step.Wake = min(step.Wake, p.nextAsk)
+		return
+	}
+	p.asking, p.askedAt = reader, now
+	p.nextAsk = now + p.settings.Interval
+	step.Ask = reader
+}
+
+func (p *Plan) planRead(step *Step, isReader bool, now time.Duration) {
+	if p.reading {
+		return
+	}
+	due := p.readDue(isReader)
+	if now < due {
+		step.Wake = min(step.Wake, due)
+		return
+	}
+	p.reading, p.neverTried = true, false
+	p.readBegan = now
+	step.Read = true
+}
+
+func (p *Plan) readDue(isReader bool) time.Duration {
+	switch {
+	case p.neverTried:
+		return 0
+	case !p.known:
+		return p.nextRead
+	case isReader:
+		return p.nextRead
+	default:
+		return max(p.nextRead, p.confirmedAt+p.settings.MaxAge+p.staggerPart)
+	}
+}
+
+// Confirmed notes that what is known was current at a time, and reports whether
+// that is news.
+func (p *Plan) Confirmed(at time.Duration) bool {
+	if p.known && at <= p.confirmedAt {
+		return false
+	}
+	p.known, p.confirmedAt = true, at
+	return true
+}
+
+// ReadDone notes the end of a read of the store.
+func (p *Plan) ReadDone(now time.Duration, success bool) {
+	p.reading = false
+	if success {
+		p.failures = 0
+		p.nextRead = p.readBegan + p.settings.Interval
+		return
+	}
+	p.failures++
+	if !p.known {
+		p.nextRead = now + blankInterval
+		return
+	}
+	backoff := p.settings.Interval / firstRetryPart << min(p.failures-1, maxDoublings)
+	p.nextRead = now + min(backoff, p.settings.MaxBackoff)
+}
+
+// Answer is how a peer answered a question.
+type Answer uint8
+
+// Answers. A stale peer knows nothing, or nothing newer than the limit of the age.
+const (
+	Fresh Answer = iota
+	Stale
+	Silent
+)
+
+// Judge returns what an answer with knowledge of an age is worth.
+func (p *Plan) Judge(known bool, age time.Duration) Answer {
+	if known && age < p.settings.MaxAge {
+		return Fresh
+	}
+	return Stale
+}
+
+// AskDone notes the end of a question and the age of the answer's knowledge. A
+// peer that is not fresh is passed over for a time. The next question follows the
+// reader's next read.
+func (p *Plan) AskDone(now time.Duration, name string, answer Answer, age time.Duration) {
+	p.asking = ""
+	asked := p.find(name)
+	if asked == nil {
+		return
+	}
+	switch answer {
+	case Fresh:
+		asked.failures = 0
+		untilRead := p.settings.Interval - age + p.settings.Interval/readPart
+		p.nextAsk = now + max(untilRead, p.settings.Interval/leastAskPart)
+		return
+	case Stale:
+		asked.failures = 0
+		asked.restUntil = now + p.settings.PeerRest
+	case Silent:
+		asked.restUntil = now + min(p.settings.PeerRest<<min(asked.failures, maxDoublings), p.settings.MaxPeerRest)
+		asked.failures++
+	}
+	asked.failedAt = now
+	p.nextAsk = now
+}
+
+// Heard notes that a peer was known to run at a time: one that failed before that
+// may be asked again.
+func (p *Plan) Heard(name string, at time.Duration) {
+	if heard := p.find(name); heard != nil && at > heard.failedAt {
+		heard.restUntil, heard.failures = 0, 0
+	}
+}
+
+func (p *Plan) find(name string) *peer {
+	at := slices.IndexFunc(p.order, func(candidate *peer) bool { return candidate.name == name })
+	if at < 0 {
+		return nil
+	}
+	return p.order[at]
+}
--- a/internal/decision/selection/selection.go
+++ b/internal/decision/selection/selection.go
@@ -28,6 +28,8 @@
 	waitingCost = 0.08
 	// failureCost is the cost of an endpoint all of whose flows fail.
 	failureCost = 20.0
+	// maxLeft bounds the members of a service that are kept after they left.
+	maxLeft = 1024
 	// suspectCost puts suspect endpoints behind all others.
 	suspectCost = 1000.0
 )
@@ -39,6 +41,8 @@
 
 	mu      sync.Mutex
 	members []*Member
+	// left holds members that are no longer listed.
+	left    []*Member
 	usual   float64 // usual response time in ns
 	choices uint64
 }
@@ -60,16 +64,49 @@
 	p.members = make([]*Member, 0, len(endpoints))
 	for _, endpoint := range endpoints {
 		m := find(previous, &endpoint)
+		if m == nil {
+			m = find(p.left, &endpoint)
+		}
 		if m == nil {
 			m = &Member{pool: p, response: 0, aliveAt: now}
 		}
 		m.update(endpoint, now)
 		p.members = append(p.members, m)
 	}
+	p.retire(previous)
+	return slices.Clone(p.members)
+}
+
+// retire keeps the members that are no longer listed, the latest maxLeft of them:
+// an endpoint that is listed again goes on with what is known about it.
+func (p *Pool) retire(previous []*Member) {
+	p.left = slices.DeleteFunc(p.left, func(m *Member) bool { return slices.Contains(p.members, m) })
 	for _, m := range previous {
-		m.listed = slices.Contains(p.members, m)
+		if !slices.Contains(p.members, m) {
+			m.listed = false
+			p.left = append(p.left, m)
+		}
 	}
-	return slices.Clone(p.members)
+	p.left = slices.Delete(p.left, 0, max(len(p.left)-maxLeft, 0))
+}
+
+// Former returns a member for an endpoint that is not listed and gets no new
+// flows: the one that it had, as long as it stays in use, else a new one.
+func (p *Pool) Former(endpoint *directory.Endpoint) *Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := find(p.left, endpoint); m != nil {
+		return m
+	}
+	return &Member{pool: p, endpoint: *endpoint}
+}
+
+// Is reports whether the member is the run of an endpoint that the entry
+// describes.
+func (m *Member) Is(endpoint *directory.Endpoint) bool {
+	m.pool.mu.Lock()
+	defer m.pool.mu.Unlock()
+	return m.endpoint.SameIncarnation(endpoint)
 }
 
 func find(members []*Member, endpoint *directory.Endpoint) *Member {
--- a/internal/decision/steering/steering.go
+++ b/internal/decision/steering/steering.go
@@ -37,20 +37,53 @@
 	Refuse
 )
 
+// Event is what a packet was a decision about.
+type Event uint8
+
+// Events. Continued is a packet of a flow that goes on.
+const (
+	Continued Event = iota
+	Chosen
+	Repeated
+	Rejected
+	Dropped
+	Abandoned
+)
+
+// String returns the name used in logs.
+func (e Event) String() string {
+	switch e {
+	case Chosen:
+		return "flow_opened"
+	case Repeated:
+		return "first_packet_repeated"
+	case Rejected:
+		return "flow_refused"
+	case Dropped:
+		return "packet_dropped"
+	case Abandoned:
+		return "flow_without_response"
+	default:
+		return "flow_continued"
+	}
+}
+
 // Action is the decision on one packet.
 type Action struct {
-	Kind Kind
-	Code resultcode.Code
+	Kind  Kind
+	Event Event
+	Code  resultcode.Code
 	// Member is the endpoint to forward to, Label the flow's label.
 	Member *selection.Member
 	Label  label.Label
-	// Decided is set when the packet led to a decision of its own: a choice of
-	// an endpoint, a refusal, a drop, the end of a flow.
-	Decided bool
 	// Copies counts the repeated first packets of the flow.
 	Copies uint8
 	// Suspected is set when the flow's former endpoint became suspect.
 	Suspected *selection.Member
+	// Response is the time until a response began, when the packet shows one.
+	Response time.Duration
+	// Open is how long the flow was open, when the packet ends it.
+	Open time.Duration
 }
 
 // Freshness is how old the knowledge is that a packet is decided by.
@@ -96,7 +129,7 @@
 		return s.repeated(v, r, f, p, now)
 	}
 	if f != nil {
-		s.end(f, now)
+		s.remove(f, now)
 	}
 	if r == nil {
 		return noRoute(fresh)
@@ -114,15 +147,15 @@
 	}
 	f = &flow{tuple: p.Tuple, sequence: p.Sequence, member: m, label: v.ownLabels[m], openedAt: now, sentAt: now, seenAt: now, waiting: true}
 	s.flows[p.Tuple] = f
-	return Action{Kind: Forward, Code: resultcode.PacketForwarded, Member: m, Label: f.label, Decided: true}
+	return Action{Kind: Forward, Code: resultcode.PacketForwarded, Member: m, Label: f.label, Event: Chosen}
 }
 
 func noRoute(fresh Freshness) Action {
 	switch {
 	case !fresh.Known:
-		return Action{Kind: Drop, Code: resultcode.DroppedNoTables, Decided: true}
+		return dropped(resultcode.DroppedNoTables)
 	case fresh.Age > maxRefusalAge:
-		return Action{Kind: Drop, Code: resultcode.PacketNoService, Decided: true}
+		return dropped(resultcode.PacketNoService)
 	default:
 		return refusal(resultcode.PacketNoService)
 	}
@@ -132,13 +165,17 @@
 // otherwise the caller's next copy of the packet may find one.
 func noEndpoint(fresh Freshness) Action {
 	if !fresh.Complete {
-		return Action{Kind: Drop, Code: resultcode.RefusedNoEndpoint, Decided: true}
+		return dropped(resultcode.RefusedNoEndpoint)
 	}
 	return refusal(resultcode.RefusedNoEndpoint)
 }
 
 func refusal(code resultcode.Code) Action {
-	return Action{Kind: Refuse, Code: code, Decided: true}
+	return Action{Kind: Refuse, Code: code, Event: Rejected}
+}
+
+func dropped(code resultcode.Code) Action {
+	return Action{Kind: Drop, Code: code, Event: Dropped}
 }
 
 // repeated handles a copy of the first packet of a known flow. It goes where the
@@ -150,7 +187,7 @@
 		return Action{Kind: Drop, Code: resultcode.DroppedLateCopy}
 	}
 	f.copies++
-	action := Action{Kind: Forward, Code: resultcode.PacketForwarded, Decided: true, Copies: f.copies}
+	action := Action{Kind: Forward, Code: resultcode.PacketForwarded, Event: Repeated, Copies: f.copies}
 	former := f.member
 	silent := former.Unanswered(now, f.sentAt)
 	if silent {
@@ -184,26 +221,25 @@
 func (s *shard) established(v *View, p *Packet, fresh Freshness, now time.Duration) Action {
 	f := s.flows[p.Tuple]
 	m := v.resolve(p.Label)
+	var response time.Duration
 	if f != nil {
-		if kept := f.follow(p, m, now); kept != nil {
-			m = kept
-		}
+		m, response = f.follow(p, m, now)
 	}
 	if m == nil {
-		return s.unknownLabel(p, fresh)
+		return unknownLabel(p, fresh)
 	}
-	action := Action{Kind: Forward, Code: resultcode.PacketForwarded, Member: m, Label: p.Label}
-	if p.Fin || p.Reset {
-		action.Decided = s.finish(f, now)
+	action := Action{Kind: Forward, Code: resultcode.PacketForwarded, Member: m, Label: p.Label, Response: response}
+	if f != nil && (p.Fin || p.Reset) && f.finish(now) {
+		action.Event, action.Open = Abandoned, now-f.openedAt
 	}
 	return action
 }
 
 // unknownLabel handles a packet whose endpoint is not known. It is refused only
 // when the endpoint cannot be one that this instance has not heard of yet.
-func (s *shard) unknownLabel(p *Packet, fresh Freshness) Action {
+func unknownLabel(p *Packet, fresh Freshness) Action {
 	if !fresh.Complete || p.Reset {
-		return Action{Kind: Drop, Code: resultcode.RouteUnknownFlow, Decided: true}
+		return dropped(resultcode.RouteUnknownFlow)
 	}
 	return refusal(resultcode.RouteEndpointGone)
 }
--- a/internal/decision/steering/table.go
+++ b/internal/decision/steering/table.go
@@ -75,21 +75,27 @@
 	return sum
 }
 
-// follow takes a packet of a known flow from the caller. It returns the endpoint
-// that the flow is kept on when the label names another one.
-func (f *flow) follow(p *Packet, named *selection.Member, now time.Duration) *selection.Member {
+// follow takes a packet of a known flow from the caller, whose label names an
+// endpoint, nil for none known. It returns the endpoint that the flow is on and the
+// time until its response if the packet shows that one has begun.
+//
+// A flow that was acknowledged stays where it is when a later packet carries the
+// label of another endpoint that answered a copy of the first packet.
+func (f *flow) follow(p *Packet, named *selection.Member, now time.Duration) (*selection.Member, time.Duration) {
 	f.seenAt = now
 	if !f.answered {
+		if named == nil && p.Reset {
+			return f.member, 0
+		}
 		if named == nil {
-			return nil
+			return nil, 0
 		}
 		f.open(p, named, now)
 	}
-	if p.Acknowledgement-f.acknowledged > windowBytes {
-		return nil
+	if p.Acknowledgement-f.acknowledged > windowBytes && f.acknowledged-p.Acknowledgement > windowBytes {
+		return named, 0
 	}
-	f.progress(p, now)
-	return f.member
+	return f.member, f.progress(p, now)
 }
 
 // open takes the first packet behind the handshake: the caller has acknowledged
@@ -110,18 +116,20 @@
 }
 
 // progress follows requests and responses: new data of the caller is a request,
-// a higher acknowledgement a response.
-func (f *flow) progress(p *Packet, now time.Duration) {
-	if advanced := p.Acknowledgement - f.acknowledged; advanced > 0 && advanced <= windowBytes {
+// a higher acknowledgement a response. It returns the time until the response when
+// one has begun.
+func (f *flow) progress(p *Packet, now time.Duration) (response time.Duration) {
+	if int32(p.Acknowledgement-f.acknowledged) > 0 {
 		f.acknowledged = p.Acknowledgement
 		if f.waiting {
 			f.waiting = false
-			f.member.Responded(now, now-f.requestedAt)
+			response = now - f.requestedAt
+			f.member.Responded(now, response)
 		}
 	}
 	end := p.Sequence + uint32(p.Length)
 	if p.Length == 0 || int32(end-f.sent) <= 0 {
-		return
+		return response
 	}
 	f.sent = end
 	if !f.waiting {
@@ -129,25 +137,24 @@
 		f.requestedAt = now
 		f.member.Requested()
 	}
+	return response
 }
 
-// finish ends the request of a flow that the caller closes. It reports whether
-// this is the end of the flow, not a copy of it.
-func (s *shard) finish(f *flow, now time.Duration) bool {
-	if f == nil || f.finished {
-		return false
-	}
+// finish ends the request of a flow that the caller closes. It reports whether the
+// caller got no response.
+func (f *flow) finish(now time.Duration) bool {
 	f.finished = true
-	if f.waiting {
-		f.waiting = false
-		f.member.Abandoned(now)
+	if !f.waiting {
+		return false
 	}
+	f.waiting = false
+	f.member.Abandoned(now)
 	return true
 }
 
-func (s *shard) end(f *flow, now time.Duration) {
-	s.finish(f, now)
+func (s *shard) remove(f *flow, now time.Duration) bool {
 	delete(s.flows, f.tuple)
+	return f.finish(now)
 }
 
 const (
@@ -161,22 +168,36 @@
 	DefaultIdleTimeout = 15 * time.Second
 )
 
-// Expire ends the flows of one shard that are over.
-func (t *Table) Expire(index int, idleTimeout, now time.Duration) int {
+// Expired is a flow that ended without a packet and without a response.
+type Expired struct {
+	Tuple    common.FiveTuple
+	Sequence uint32
+	Member   *selection.Member
+	Copies   uint8
+	// Answered is set when the endpoint had taken the flow.
+	Answered bool
+	Open     time.Duration
+}
+
+// Expire ends the flows of one shard that are over, and appends those that had no
+// response.
+func (t *Table) Expire(index int, idleTimeout, now time.Duration, into []Expired) []Expired {
 	s := &t.shards[index]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if idleTimeout <= 0 {
 		idleTimeout = DefaultIdleTimeout
 	}
-	ended := 0
 	for _, f := range s.flows {
-		if now-f.seenAt >= f.life(idleTimeout) {
-			s.end(f, now)
-			ended++
+		if now-f.seenAt < f.life(idleTimeout) || !s.remove(f, now) {
+			continue
 		}
+		into = append(into, Expired{
+			Tuple: f.tuple, Sequence: f.sequence, Member: f.member, Copies: f.copies,
+			Answered: f.answered, Open: now - f.openedAt,
+		})
 	}
-	return ended
+	return into
 }
 
 func (f *flow) life(idleTimeout time.Duration) time.Duration {
--- /dev/null
+++ b/internal/discovery/convert.go
@@ -0,0 +1,105 @@
+package discovery
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/directory"
+	"burdockrelay.example/burdockrelay/proto/syncpb"
+)
+
+func addressToWire(address netip.Addr) uint32 {
+	bytes := address.As4()
+	return binary.BigEndian.Uint32(bytes[:])
+}
+
+func addressFromWire(address uint32) netip.Addr {
+	var bytes [4]byte
+	binary.BigEndian.PutUint32(bytes[:], address)
+	return netip.AddrFrom4(bytes)
+}
+
+func configurationToWire(c *directory.Configuration) *syncpb.Configuration {
+	if c == nil {
+		return nil
+	}
+	wire := &syncpb.Configuration{
+		Version: c.Version, Revision: c.Revision, IdleTimeoutMs: uint64(c.IdleTimeout.Milliseconds()),
+	}
+	for _, rule := range c.Rules {
+		wireRule := &syncpb.Rule{
+			Name: rule.Name, Address: addressToWire(rule.Address.Address), Port: uint32(rule.Address.Port),
+		}
+		for _, target := range rule.Targets {
+			wireRule.Targets = append(wireRule.Targets, &syncpb.Target{Service: target.Service, Weight: target.Weight})
+		}
+		wire.Rules = append(wire.Rules, wireRule)
+	}
+	for _, service := range c.Services {
+		wire.Services = append(wire.Services, &syncpb.Service{
+			Name: service.Name, HealthPath: service.HealthPath, MaxFlows: service.MaxFlows,
+		})
+	}
+	return wire
+}
+
+func configurationFromWire(wire *syncpb.Configuration) *directory.Configuration {
+	if wire == nil {
+		return nil
+	}
+	c := &directory.Configuration{
+		Version: wire.Version, Revision: wire.Revision,
+		IdleTimeout: time.Duration(wire.IdleTimeoutMs) * time.Millisecond,
+	}
+	for _, wireRule := range wire.Rules {
+		rule := directory.Rule{
+			Name: wireRule.Name,
+			Address: common.ServiceAddress{
+				Address: addressFromWire(wireRule.Address), Port: uint16(wireRule.Port), Protocol: common.ProtocolTCP,
+			},
+		}
+		for _, target := range wireRule.Targets {
+			rule.Targets = append(rule.Targets, directory.Target{Service: target.Service, Weight: target.Weight})
+		}
+		c.Rules = append(c.Rules, rule)
+	}
+	for _, service := range wire.Services {
+		c.Services = append(c.Services, directory.Service{
+			Name: service.Name, HealthPath: service.HealthPath, MaxFlows: service.MaxFlows,
+		})
+	}
+	return c
+}
+
+func knownToWire(k *directory.Known, now time.Duration) *syncpb.Endpoint {
+	wire := &syncpb.Endpoint{
+		Name: k.Endpoint.Name, Number: k.Endpoint.Number, Service: k.Endpoint.Service,
+		Address: addressToWire(k.Endpoint.Address.Addr()), Port: uint32(k.Endpoint.Address.Port()),
+		DataCentre: k.Endpoint.DataCentre, Slots: k.Endpoint.Slots, Draining: k.Endpoint.Draining,
+		WarmUpMs: uint64(k.Endpoint.WarmUp.Milliseconds()), Born: uint64(k.Endpoint.Born),
+		Revision: k.Endpoint.Revision, MissingAt: k.MissingAt,
+	}
+	if k.Missing() {
+		wire.MissingUs = uint64(max(now-k.MissingSince, 0).Microseconds())
+	}
+	return wire
+}
+
+func knownFromWire(wire *syncpb.Endpoint, now time.Duration) directory.Known {
+	k := directory.Known{
+		Endpoint: directory.Endpoint{
+			Name: wire.Name, Number: wire.Number, Service: wire.Service,
+			Address:    netip.AddrPortFrom(addressFromWire(wire.Address), uint16(wire.Port)),
+			DataCentre: wire.DataCentre, Slots: wire.Slots, Draining: wire.Draining,
+			WarmUp: time.Duration(wire.WarmUpMs) * time.Millisecond, Born: int64(wire.Born),
+			Revision: wire.Revision,
+		},
+		MissingAt: wire.MissingAt,
+	}
+	if k.Missing() {
+		k.MissingSince = now - time.Duration(wire.MissingUs)*time.Microsecond
+	}
+	return k
+}
--- a/internal/discovery/knowledge.go
+++ b/internal/discovery/knowledge.go
@@ -18,6 +18,15 @@
 	// flowLife is how long an endpoint that is no longer listed is remembered for
 	// the flows that name it.
 	flowLife = 60 * time.Second
+	// returnGrace is how long after the store's return an endpoint may be missing
+	// from it and yet serve: entries that expired during an outage are back
+	// within about two seconds.
+	returnGrace = 2300 * time.Millisecond
+	// returnSlack allows for the time that a peer takes to tell of the return.
+	returnSlack = 250 * time.Millisecond
+	// completeAge is the age up to which an endpoint that is not listed is taken
+	// to be gone.
+	completeAge = 1500 * time.Millisecond
 )
 
 // Knowledge holds what the instance knows. Its methods are safe for concurrent
@@ -25,25 +34,36 @@
 type Knowledge struct {
 	dataCentre string
 	clock      func() time.Duration
+	// outageAge is the age of the knowledge from which its next confirmation
+	// counts as the store's return.
+	outageAge time.Duration
 
 	mu      sync.Mutex
 	catalog *directory.Catalog
 	pools   map[string]*selection.Pool
+	// former holds the members of endpoints that are missing.
+	former map[string]*selection.Member
 
 	current     atomic.Pointer[steering.View]
 	confirmedAt atomic.Int64
+	returnedAt  atomic.Int64
+	ready       chan struct{}
 }
 
 // NewKnowledge returns the empty knowledge of an instance in a data centre. clock
 // returns the time since a fixed moment and goes on while the machine is
 // suspended.
-func NewKnowledge(dataCentre string, clock func() time.Duration) *Knowledge {
+func NewKnowledge(dataCentre string, outageAge time.Duration, clock func() time.Duration) *Knowledge {
 	k := &Knowledge{
 		dataCentre: dataCentre,
 		clock:      clock,
+		outageAge:  outageAge,
 		catalog:    directory.NewCatalog(),
 		pools:      make(map[string]*selection.Pool),
+		former:     make(map[string]*selection.Member),
+		ready:      make(chan struct{}),
 	}
+	k.returnedAt.Store(int64(clock()))
 	k.current.Store(steering.NewView(nil, nil, k.pool))
 	return k
 }
@@ -51,14 +71,49 @@
 // Now returns the time of the knowledge.
 func (k *Knowledge) Now() time.Duration { return k.clock() }
 
-// Current returns the view for packets and how old it is.
-func (k *Knowledge) Current() (*steering.View, steering.Freshness) {
+// Current returns the view for packets and how fresh it is now.
+func (k *Knowledge) Current(now time.Duration) (*steering.View, steering.Freshness) {
 	view := k.current.Load()
-	age := k.clock() - time.Duration(k.confirmedAt.Load())
-	return view, steering.Freshness{Known: view.Version() != 0, Age: age, Complete: view.Version() != 0 && age < time.Second}
+	fresh := steering.Freshness{Known: view.Version() != 0, Age: now - time.Duration(k.confirmedAt.Load())}
+	settled := now - time.Duration(k.returnedAt.Load())
+	fresh.Complete = fresh.Known && fresh.Age < completeAge && settled > returnGrace
+	return view, fresh
 }
 
-// pool returns the pool of a service. The caller holds mu or is the only user.
+// Known reports whether the instance has a configuration.
+func (k *Knowledge) Known() bool { return k.current.Load().Version() != 0 }
+
+// Ready is closed when the instance has its first configuration.
+func (k *Knowledge) Ready() <-chan struct{} { return k.ready }
+
+// HealthPath returns the path of the health checks of a service, empty for none.
+func (k *Knowledge) HealthPath(service string) string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	configuration := k.catalog.Configuration()
+	if configuration == nil {
+		return ""
+	}
+	for i := range configuration.Services {
+		if configuration.Services[i].Name == service {
+			return configuration.Services[i].HealthPath
+		}
+	}
+	return ""
+}
+
+// At returns the revision of the store that the knowledge is complete at, and the
+// revision of the configuration.
+func (k *Knowledge) At() (at, configuration uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if c := k.catalog.Configuration(); c != nil {
+		configuration = c.Revision
+	}
+	return k.catalog.At(), configuration
+}
+
+// pool returns the pool of a service. The caller holds mu.
 func (k *Knowledge) pool(service string) *selection.Pool {
 	p := k.pools[service]
 	if p == nil {
@@ -68,46 +123,126 @@
 	return p
 }
 
-// Offer takes a configuration and a full list of endpoints read at a revision.
-// They were current at the time confirmedAt or later.
-func (k *Knowledge) Offer(configuration *directory.Configuration, endpoints []directory.Endpoint, at uint64, confirmedAt time.Duration) bool {
+// Applied is the effect of an update.
+type Applied struct {
+	// Usable is false for an update that starts behind the present knowledge.
+	Usable bool
+	// Changed is set when the update brought something new.
+	Changed bool
+	// Returned is set when the update ends an outage of the store.
+	Returned bool
+	// Version and At are those of the knowledge afterwards.
+	Version, At uint64
+	Endpoints   int
+}
+
+// Apply merges an update that was current at a time. returnedAt is when the
+// teller of the update saw the store come back, 0 if it was itself the store.
+func (k *Knowledge) Apply(u *directory.Update, confirmedAt, returnedAt time.Duration) Applied {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.clock()
-	changed := k.catalog.OfferConfiguration(configuration)
-	changed = k.catalog.OfferEndpoints(endpoints, at, now) || changed
-	if k.catalog.Forget(flowLife, now) > 0 {
-		changed = true
+	var applied Applied
+	if k.Known() && now-time.Duration(k.confirmedAt.Load()) > k.outageAge {
+		applied.Returned = true
+		if returnedAt == 0 {
+			returnedAt = now
+		}
+		k.returnedAt.Store(max(k.returnedAt.Load(), int64(returnedAt)))
+	}
+	applied.Changed, applied.Usable = k.catalog.Apply(u, now)
+	if !applied.Usable {
+		return applied
 	}
-	if changed {
+	if k.catalog.Forget(flowLife, now) > 0 || applied.Changed {
 		k.publish(now)
 	}
 	k.confirmedAt.Store(max(k.confirmedAt.Load(), int64(confirmedAt)))
-	return changed
+	applied.Version, applied.At = k.current.Load().Version(), k.catalog.At()
+	applied.Endpoints = len(k.catalog.Known())
+	return applied
 }
 
-// publish builds the view from the catalog.
-func (k *Knowledge) publish(now time.Duration) {
-	known := k.catalog.Known()
-	byService := make(map[string][]directory.Endpoint)
-	for _, e := range known {
-		if !e.Missing {
-			byService[e.Endpoint.Service] = append(byService[e.Endpoint.Service], e.Endpoint)
+// Difference returns what the knowledge holds beyond two revisions, when it was
+// confirmed and when the store last came back.
+func (k *Knowledge) Difference(configurationRevision, since uint64) (u directory.Update, confirmedAt, returnedAt time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.catalog.Difference(configurationRevision, since), time.Duration(k.confirmedAt.Load()), time.Duration(k.returnedAt.Load())
+}
+
+// Settle removes the endpoints that the store has not listed again within the
+// grace after its return. It returns when to call it next, 0 for never.
+func (k *Knowledge) Settle() time.Duration {
+	now := k.clock()
+	end := time.Duration(k.returnedAt.Load()) + returnGrace
+	if now < end {
+		return end
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, known := range k.catalog.Known() {
+		if known.Missing() && k.former[known.Endpoint.Name] == nil {
+			k.publish(now)
+			return 0
 		}
 	}
+	return 0
+}
+
+// excused reports whether a missing endpoint may have only lost its entry in an
+// outage that the store has just come back from.
+func (k *Knowledge) excused(known *directory.Known, now time.Duration) bool {
+	returnedAt := time.Duration(k.returnedAt.Load())
+	return now < returnedAt+returnGrace && known.MissingSince >= returnedAt-returnSlack
+}
+
+// publish builds the view from the catalog. The caller holds mu.
+func (k *Knowledge) publish(now time.Duration) {
+	listed := make(map[string][]directory.Endpoint, len(k.pools))
 	for service := range k.pools {
-		if _, listed := byService[service]; !listed {
-			byService[service] = nil
+		listed[service] = nil
+	}
+	var missing []directory.Known
+	for _, known := range k.catalog.Known() {
+		if known.Missing() && !k.excused(&known, now) {
+			missing = append(missing, known)
+			continue
 		}
+		listed[known.Endpoint.Service] = append(listed[known.Endpoint.Service], known.Endpoint)
 	}
 	var labelled []steering.Labelled
-	for service, endpoints := range byService {
+	for service, endpoints := range listed {
 		for i, m := range k.pool(service).Update(endpoints, now) {
-			labelled = append(labelled, steering.Labelled{
-				Member: m,
-				Holder: label.Holder{Number: endpoints[i].Number, Live: true, Born: endpoints[i].Born},
-			})
+			labelled = append(labelled, withLabel(m, &endpoints[i], true))
 		}
 	}
+	former := make(map[string]*selection.Member, len(missing))
+	for i := range missing {
+		endpoint := &missing[i].Endpoint
+		m := k.formerMember(endpoint)
+		former[endpoint.Name] = m
+		labelled = append(labelled, withLabel(m, endpoint, false))
+	}
+	k.former = former
+	wasKnown := k.Known()
 	k.current.Store(steering.NewView(k.catalog.Configuration(), labelled, k.pool))
+	if !wasKnown && k.Known() {
+		close(k.ready)
+	}
+}
+
+// formerMember returns the member of an endpoint that is no longer listed.
+func (k *Knowledge) formerMember(endpoint *directory.Endpoint) *selection.Member {
+	if m := k.former[endpoint.Name]; m != nil && m.Is(endpoint) {
+		return m
+	}
+	return k.pool(endpoint.Service).Former(endpoint)
+}
+
+func withLabel(m *selection.Member, endpoint *directory.Endpoint, live bool) steering.Labelled {
+	return steering.Labelled{
+		Member: m,
+		Holder: label.Holder{Number: endpoint.Number, Live: live, Born: endpoint.Born},
+	}
 }
--- /dev/null
+++ b/internal/discovery/metrics.go
@@ -0,0 +1,76 @@
+package discovery
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics counts reads of the store and questions to peers.
+type Metrics struct {
+	reads       *prometheus.CounterVec
+	readSeconds prometheus.Histogram
+	asks        *prometheus.CounterVec
+	askSeconds  prometheus.Histogram
+}
+
+// callBuckets are the bounds of latencies of calls, in seconds.
+var callBuckets = []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2}
+
+// NewMetrics registers the metrics, with the age and the revisions of knowledge.
+func NewMetrics(registry prometheus.Registerer, knowledge *Knowledge, peers *Peers) *Metrics {
+	m := &Metrics{
+		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "burdock_store_reads_total", Help: "Reads of the store by result (ok, failed).",
+		}, []string{"result"}),
+		readSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "burdock_store_read_seconds", Help: "Duration of reads of the store.", Buckets: callBuckets,
+		}),
+		asks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "burdock_peer_asks_total", Help: "Questions to peers by result (ok, failed).",
+		}, []string{"result"}),
+		askSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "burdock_peer_ask_seconds", Help: "Duration of questions to peers.", Buckets: callBuckets,
+		}),
+	}
+	registry.MustRegister(m.reads, m.readSeconds, m.asks, m.askSeconds,
+		gauge("burdock_knowledge_age_seconds", "Time since the store confirmed what the instance knows.", func() float64 {
+			now := knowledge.Now()
+			_, fresh := knowledge.Current(now)
+			return fresh.Age.Seconds()
+		}),
+		gauge("burdock_store_revision", "Revision of the store that the instance knows.", func() float64 {
+			at, _ := knowledge.At()
+			return float64(at)
+		}),
+		gauge("burdock_configuration_version", "Version of the configuration in force.", func() float64 {
+			view, _ := knowledge.Current(knowledge.Now())
+			return float64(view.Version())
+		}),
+		gauge("burdock_peers", "Other instances heard of lately.", func() float64 {
+			return float64(len(peers.Names(knowledge.Now())))
+		}),
+	)
+	return m
+}
+
+func gauge(name, help string, value func() float64) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
+}
+
+func result(ok bool) string {
+	if ok {
+		return "ok"
+	}
+	return "failed"
+}
+
+func (m *Metrics) read(ok bool, took time.Duration) {
+	m.reads.WithLabelValues(result(ok)).Inc()
+	m.readSeconds.Observe(took.Seconds())
+}
+
+func (m *Metrics) asked(ok bool, took time.Duration) {
+	m.asks.WithLabelValues(result(ok)).Inc()
+	m.askSeconds.Observe(took.Seconds())
+}
--- /dev/null
+++ b/internal/discovery/registry.go
@@ -0,0 +1,107 @@
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"go.uber.org/zap"
+
+	"burdockrelay.example/burdockrelay/internal/objectstore"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+	"burdockrelay.example/burdockrelay/proto/syncpb"
+)
+
+// instanceKind is the kind of the objects by which instances find each other.
+const instanceKind = "burdock-instances"
+
+// registration is the content of an instance's object.
+type registration struct {
+	Address netip.AddrPort `json:"address"`
+}
+
+// Registry lets instances find each other through the store.
+type Registry struct {
+	Store  objectstore.Store
+	Self   Peer
+	Logger *zap.Logger
+	// Found is told of the other instances that the store lists.
+	Found func(ctx context.Context, peers ...*syncpb.Peer)
+}
+
+const (
+	// registerTimeout bounds one call.
+	registerTimeout = 2 * time.Second
+	// registerMaxInterval bounds the time between tries while the store is away.
+	registerMaxInterval = 3 * time.Second
+)
+
+// Run registers the instance and reads the others once, again until it succeeds.
+func (r *Registry) Run(ctx context.Context) error {
+	interval := backoff.NewExponentialBackOff()
+	interval.MaxInterval = registerMaxInterval
+	_, err := backoff.Retry(ctx, func() (struct{}, error) {
+		err := r.register(ctx)
+		if err == nil {
+			err = r.list(ctx)
+		}
+		if err != nil {
+			r.Logger.Info("registration_failed", zap.Error(err))
+		}
+		return struct{}{}, err
+	}, backoff.WithBackOff(interval), backoff.WithMaxElapsedTime(0))
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// register writes the instance's object unless it is there already.
+func (r *Registry) register(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	content, err := json.Marshal(registration{Address: r.Self.Address})
+	if err != nil {
+		return fmt.Errorf("encode registration: %w", err)
+	}
+	own := objectstore.Object{Kind: instanceKind, Name: r.Self.Name, Content: content}
+	present, err := r.Store.Create(ctx, own)
+	if code, _ := resultcode.Of(err); code != resultcode.PlatformExists {
+		return err
+	}
+	var written registration
+	if json.Unmarshal(present.Content, &written) == nil && written == (registration{Address: r.Self.Address}) {
+		return nil
+	}
+	_, err = r.Store.Update(ctx, own)
+	return err
+}
+
+func (r *Registry) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	after := ""
+	for {
+		listing, err := r.Store.List(ctx, instanceKind, after)
+		if err != nil {
+			return err
+		}
+		var peers []*syncpb.Peer
+		for _, object := range listing.Objects {
+			after = object.Name
+			var content registration
+			if err := json.Unmarshal(object.Content, &content); err != nil {
+				r.Logger.Warn("registration_unreadable", zap.String("name", object.Name), zap.Error(err))
+				continue
+			}
+			peers = append(peers, &syncpb.Peer{Name: object.Name, Address: content.Address.String()})
+		}
+		r.Found(ctx, peers...)
+		if !listing.More || len(listing.Objects) == 0 {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/discovery/service.go
@@ -0,0 +1,99 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"burdockrelay.example/burdockrelay/internal/directory"
+	"burdockrelay.example/burdockrelay/proto/syncpb"
+)
+
+// Service answers the questions of peers.
+type Service struct {
+	Knowledge *Knowledge
+	Peers     *Peers
+	// Hear is told of the instances that ask.
+	Hear func(ctx context.Context, peers ...*syncpb.Peer)
+}
+
+var _ syncpb.Sync = (*Service)(nil)
+
+// Fetch implements the Sync service.
+func (s *Service) Fetch(ctx context.Context, request *syncpb.FetchRequest) (*syncpb.FetchResponse, error) {
+	if request.Asker != nil {
+		s.Hear(ctx, request.Asker)
+	}
+	now := s.Knowledge.Now()
+	update, confirmedAt, returnedAt := s.Knowledge.Difference(request.ConfigurationRevision, request.EndpointsRevision)
+	response := &syncpb.FetchResponse{
+		Known:             s.Knowledge.Known(),
+		AgeUs:             uint64(max(now-confirmedAt, 0).Microseconds()),
+		ReturnedUs:        uint64(max(now-returnedAt, 0).Microseconds()),
+		Configuration:     configurationToWire(update.Configuration),
+		EndpointsRevision: update.At,
+		SinceRevision:     update.Since,
+		Full:              update.Full,
+	}
+	for i := range update.Endpoints {
+		response.Endpoints = append(response.Endpoints, knownToWire(&update.Endpoints[i], now))
+	}
+	if request.PeersHash != s.Peers.Hash() {
+		response.Peers = s.Peers.Told(now)
+	}
+	return response, nil
+}
+
+func updateFromWire(response *syncpb.FetchResponse, now time.Duration) directory.Update {
+	update := directory.Update{
+		Since: response.SinceRevision, At: response.EndpointsRevision, Full: response.Full,
+		Configuration: configurationFromWire(response.Configuration),
+	}
+	for _, wire := range response.Endpoints {
+		update.Endpoints = append(update.Endpoints, knownFromWire(wire, now))
+	}
+	return update
+}
+
+// peerClient calls the Sync service of peers.
+type peerClient struct {
+	http *http.Client
+}
+
+func newPeerClient(timeout time.Duration) *peerClient {
+	return &peerClient{http: &http.Client{
+		Timeout: timeout,
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+			MaxIdleConnsPerHost: 1,
+			DisableCompression:  true,
+		},
+	}}
+}
+
+func (c *peerClient) fetch(ctx context.Context, address netip.AddrPort, request *syncpb.FetchRequest) (*syncpb.FetchResponse, error) {
+	return syncpb.NewSyncProtobufClient("http://"+address.String(), c.http).Fetch(ctx, request)
+}
+
+const (
+	// requestTimeout bounds the reading of a peer's request.
+	requestTimeout = time.Second
+	// idleTimeout closes connections of peers that no longer ask.
+	idleTimeout = 30 * time.Second
+)
+
+// Serve answers peers on a listener until the context ends.
+func (s *Service) Serve(ctx context.Context, listener net.Listener) error {
+	server := &http.Server{
+		Handler: syncpb.NewSyncServer(s), ReadTimeout: requestTimeout, IdleTimeout: idleTimeout,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/discovery/syncer.go
@@ -0,0 +1,285 @@
+package discovery
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdockrelay.example/burdockrelay/internal/decision/freshness"
+	"burdockrelay.example/burdockrelay/internal/directory"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+	"burdockrelay.example/burdockrelay/proto/syncpb"
+)
+
+// Source reads the object store.
+type Source interface {
+	// Revision returns the store's present revision by the cheapest linearizable
+	// read.
+	Revision(ctx context.Context) (uint64, error)
+	// Everything returns the configuration and all endpoints.
+	Everything(ctx context.Context) (directory.Update, error)
+	// Changes returns what has changed after a revision. It may be incomplete
+	// while the store forgets its history: the update then ends below the
+	// revision that Revision returned.
+	Changes(ctx context.Context, since uint64) (directory.Update, error)
+}
+
+const (
+	// readTimeout bounds one read of the store that works; a slow store gets up to
+	// maxReadTimeout.
+	readTimeout    = 400 * time.Millisecond
+	maxReadTimeout = 3200 * time.Millisecond
+	// changesTimeout bounds a read of changes. It is short, because such a read
+	// waits without end while the store forgets its history.
+	changesTimeout = 200 * time.Millisecond
+	// fullReadsAfterMiss is how long after an incomplete read of changes
+	// everything is read instead.
+	fullReadsAfterMiss = 5 * time.Second
+	// askTimeout bounds the answer of a peer.
+	askTimeout = 250 * time.Millisecond
+)
+
+// Syncer keeps the knowledge of an instance fresh.
+type Syncer struct {
+	plan      *freshness.Plan
+	knowledge *Knowledge
+	peers     *Peers
+	source    Source
+	client    *peerClient
+	metrics   *Metrics
+	logger    *zap.Logger
+
+	events  chan func()
+	timeout time.Duration
+	// fullUntil is when changes are read again instead of everything.
+	fullUntil time.Duration
+	storeUp   bool
+}
+
+// NewSyncer returns a syncer that reads the source and asks peers.
+func NewSyncer(plan *freshness.Plan, knowledge *Knowledge, peers *Peers, source Source, metrics *Metrics, logger *zap.Logger) *Syncer {
+	return &Syncer{
+		plan: plan, knowledge: knowledge, peers: peers, source: source, client: newPeerClient(askTimeout),
+		metrics: metrics, logger: logger,
+		events: make(chan func(), 64), timeout: readTimeout, storeUp: true,
+	}
+}
+
+// Run keeps the knowledge fresh until the context ends.
+func (s *Syncer) Run(ctx context.Context) error {
+	s.askSeeds(ctx)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		now := s.knowledge.Now()
+		step := s.plan.Next(now)
+		s.start(ctx, step)
+		wake := step.Wake
+		if settle := s.knowledge.Settle(); settle != 0 {
+			wake = min(wake, settle)
+		}
+		timer.Reset(max(wake-now, time.Millisecond))
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		case event := <-s.events:
+			event()
+		}
+	}
+}
+
+// post hands the end of an operation to the loop, which alone uses the plan.
+func (s *Syncer) post(ctx context.Context, event func()) {
+	select {
+	case s.events <- event:
+	case <-ctx.Done():
+	}
+}
+
+func (s *Syncer) start(ctx context.Context, step freshness.Step) {
+	if step.Read {
+		go s.read(ctx, s.timeout, s.knowledge.Now() < s.fullUntil)
+	}
+	if step.Ask == "" {
+		return
+	}
+	address, found := s.peers.Address(step.Ask)
+	if !found {
+		s.plan.AskDone(s.knowledge.Now(), step.Ask, freshness.Silent, 0)
+		return
+	}
+	go s.ask(ctx, step.Ask, address)
+}
+
+// read reads the store once.
+func (s *Syncer) read(ctx context.Context, timeout time.Duration, full bool) {
+	began := s.knowledge.Now()
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	update, incomplete, err := s.fetch(callCtx, full)
+	s.post(ctx, func() {
+		now := s.knowledge.Now()
+		if incomplete {
+			s.fullUntil = now + fullReadsAfterMiss
+		}
+		s.plan.ReadDone(now, err == nil)
+		s.noteStore(err, now-began)
+		if err == nil {
+			s.apply(update, began, 0, "store")
+		}
+	})
+}
+
+// fetch returns what has changed in the store, nothing when its revision has not.
+func (s *Syncer) fetch(ctx context.Context, full bool) (update directory.Update, incomplete bool, err error) {
+	at, _ := s.knowledge.At()
+	if at == 0 {
+		update, err = s.source.Everything(ctx)
+		return update, false, err
+	}
+	revision, err := s.source.Revision(ctx)
+	if err != nil {
+		return update, false, err
+	}
+	if revision <= at {
+		return directory.Update{Since: at, At: at}, false, nil
+	}
+	if !full {
+		update, err = s.changes(ctx, at)
+		if err == nil && update.At >= revision {
+			return update, false, nil
+		}
+		s.logger.Info("changes_incomplete", zap.Uint64("since", at), zap.Uint64("revision", revision),
+			zap.Uint64("at", update.At), zap.Error(err))
+	}
+	update, err = s.source.Everything(ctx)
+	return update, !full, err
+}
+
+func (s *Syncer) changes(ctx context.Context, since uint64) (directory.Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, changesTimeout)
+	defer cancel()
+	return s.source.Changes(ctx, since)
+}
+
+// noteStore adapts the time-out of reads and tells of a lost or regained store.
+func (s *Syncer) noteStore(err error, took time.Duration) {
+	up := err == nil
+	s.metrics.read(up, took)
+	if up {
+		s.timeout = readTimeout
+		if took > readTimeout/2 {
+			s.timeout = maxReadTimeout
+		}
+	} else if took >= s.timeout {
+		s.timeout = min(2*s.timeout, maxReadTimeout)
+	}
+	if up == s.storeUp {
+		return
+	}
+	s.storeUp = up
+	age, _ := s.plan.Age(s.knowledge.Now())
+	if up {
+		s.logger.Info("store_regained", zap.Duration("took", took), zap.Duration("age", age))
+		return
+	}
+	code, _ := resultcode.Of(err)
+	s.logger.Warn("store_lost", zap.Uint32("result_code", uint32(code)), zap.Duration("took", took),
+		zap.Duration("age", age), zap.Error(err))
+}
+
+// ask asks a peer once.
+func (s *Syncer) ask(ctx context.Context, name string, address netip.AddrPort) {
+	at, configurationRevision := s.knowledge.At()
+	request := &syncpb.FetchRequest{
+		Asker: s.peers.Self(), ConfigurationRevision: configurationRevision,
+		EndpointsRevision: at, PeersHash: s.peers.Hash(),
+	}
+	asked := s.knowledge.Now()
+	answer, err := s.client.fetch(ctx, address, request)
+	s.post(ctx, func() { s.answered(name, answer, err, asked) })
+}
+
+// answered takes a peer's answer to a question asked at a time. The age of the
+// peer's knowledge counts from then, because the answer may have waited anywhere
+// on its way.
+func (s *Syncer) answered(name string, answer *syncpb.FetchResponse, err error, asked time.Duration) {
+	now := s.knowledge.Now()
+	s.metrics.asked(err == nil, now-asked)
+	if err != nil {
+		s.logger.Warn("peer_silent", zap.String("peer", name), zap.Duration("took", now-asked), zap.Error(err))
+		s.plan.AskDone(now, name, freshness.Silent, 0)
+		return
+	}
+	s.hear(answer.Peers, now)
+	age := time.Duration(answer.AgeUs) * time.Microsecond
+	s.plan.AskDone(now, name, s.plan.Judge(answer.Known, age), age)
+	if !answer.Known {
+		return
+	}
+	var returnedAt time.Duration
+	if answer.ReturnedUs > 0 {
+		returnedAt = asked - time.Duration(answer.ReturnedUs)*time.Microsecond
+	}
+	update := updateFromWire(answer, now)
+	s.apply(update, asked-age, returnedAt, name)
+}
+
+func (s *Syncer) apply(update directory.Update, confirmedAt, returnedAt time.Duration, from string) {
+	applied := s.knowledge.Apply(&update, confirmedAt, returnedAt)
+	if !applied.Usable {
+		s.logger.Info("update_unusable", zap.String("from", from), zap.Uint64("since", update.Since), zap.Uint64("at", update.At))
+		return
+	}
+	if s.knowledge.Known() {
+		s.plan.Confirmed(confirmedAt)
+	}
+	if applied.Returned {
+		s.logger.Info("knowledge_regained", zap.String("from", from), zap.Uint64("revision", applied.At))
+	}
+	if applied.Changed {
+		s.logger.Info("knowledge_changed", zap.String("from", from), zap.Uint64("version", applied.Version),
+			zap.Uint64("revision", applied.At), zap.Int("endpoints", applied.Endpoints),
+			zap.Duration("age", s.knowledge.Now()-confirmedAt))
+	}
+}
+
+// hear takes peers that were told of.
+func (s *Syncer) hear(told []*syncpb.Peer, now time.Duration) {
+	changed := false
+	for _, wire := range told {
+		peer, heardAt, err := peerFromWire(wire, now)
+		if err != nil {
+			s.logger.Warn("peer_unreadable", zap.Error(err))
+			continue
+		}
+		if s.peers.Heard(peer, heardAt) {
+			changed = true
+			s.logger.Info("peer_found", zap.String("peer", peer.Name), zap.Stringer("address", peer.Address))
+		}
+		s.plan.Heard(peer.Name, heardAt)
+	}
+	if changed {
+		s.plan.SetPeers(s.peers.Names(now))
+	}
+}
+
+// Hear takes a peer that asked this instance or that the store lists.
+func (s *Syncer) Hear(ctx context.Context, peers ...*syncpb.Peer) {
+	s.post(ctx, func() { s.hear(peers, s.knowledge.Now()) })
+}
+
+// SetBound changes the bound between a change in the store and its effect.
+func (s *Syncer) SetBound(ctx context.Context, bound time.Duration) {
+	s.post(ctx, func() { s.plan.SetSettings(freshness.SettingsFor(bound)) })
+}
+
+// askSeeds asks the instances that are known by address only, once.
+func (s *Syncer) askSeeds(ctx context.Context) {
+	for _, seed := range s.peers.Seeds() {
+		go s.ask(ctx, seed.String(), seed)
+	}
+}
--- /dev/null
+++ b/internal/ingress/observer.go
@@ -0,0 +1,169 @@
+package ingress
+
+import (
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/decision/selection"
+	"burdockrelay.example/burdockrelay/internal/decision/steering"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+)
+
+const (
+	// decisionsPerSecond and decisionsBurst bound the lines for decisions on
+	// flows. Decisions without a line are counted in a later line.
+	decisionsPerSecond = 500
+	decisionsBurst     = 1000
+)
+
+// Observer writes a line for each decision on a flow and counts packets, flows and
+// response times.
+type Observer struct {
+	logger  *zap.Logger
+	limiter *rate.Limiter
+	// suspected is told of endpoints that have become suspect.
+	suspected func(*selection.Member)
+
+	mu         sync.Mutex
+	suppressed uint64
+
+	packets   *prometheus.CounterVec
+	events    *prometheus.CounterVec
+	responses *prometheus.HistogramVec
+	byCode    sync.Map // resultcode.Code to prometheus.Counter
+	byService sync.Map // service name to prometheus.Observer
+}
+
+// responseBuckets are the bounds of response times, in seconds.
+var responseBuckets = []float64{0.005, 0.01, 0.02, 0.04, 0.08, 0.15, 0.3, 0.6, 1.2, 2.5, 5}
+
+// NewObserver registers the metrics. suspected is told of endpoints that do not
+// answer; it must not block.
+func NewObserver(logger *zap.Logger, registry prometheus.Registerer, suspected func(*selection.Member)) *Observer {
+	o := &Observer{
+		logger:    logger,
+		limiter:   rate.NewLimiter(decisionsPerSecond, decisionsBurst),
+		suspected: suspected,
+		packets: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "burdock_packets_total", Help: "Packets of callers by result code.",
+		}, []string{"code"}),
+		events: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "burdock_flow_events_total", Help: "Decisions on flows by event.",
+		}, []string{"event"}),
+		responses: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "burdock_response_seconds", Help: "Time from a request to the start of its response.",
+			Buckets: responseBuckets,
+		}, []string{"service"}),
+	}
+	registry.MustRegister(o.packets, o.events, o.responses)
+	return o
+}
+
+func (o *Observer) dropped(code resultcode.Code) {
+	o.count(code)
+}
+
+func (o *Observer) count(code resultcode.Code) {
+	counter, found := o.byCode.Load(code)
+	if !found {
+		counter, _ = o.byCode.LoadOrStore(code, o.packets.WithLabelValues(strconv.Itoa(int(code))))
+	}
+	counter.(prometheus.Counter).Inc()
+}
+
+func (o *Observer) response(service string, took time.Duration) {
+	histogram, found := o.byService.Load(service)
+	if !found {
+		histogram, _ = o.byService.LoadOrStore(service, o.responses.WithLabelValues(service))
+	}
+	histogram.(prometheus.Observer).Observe(took.Seconds())
+}
+
+// handled takes the decision on a packet.
+func (o *Observer) handled(p *steering.Packet, action *steering.Action, view *steering.View, fresh steering.Freshness) {
+	o.count(action.Code)
+	if action.Response > 0 {
+		o.response(action.Member.Pool().Service(), action.Response)
+	}
+	if action.Suspected != nil {
+		o.suspected(action.Suspected)
+	}
+	if action.Event == steering.Continued {
+		return
+	}
+	o.events.WithLabelValues(action.Event.String()).Inc()
+	if !o.allowed() {
+		return
+	}
+	fields := make([]zap.Field, 0, 12)
+	fields = append(fields,
+		zap.String("flow", flowID(&p.Tuple, p.Sequence, p.First)),
+		zap.Stringer("to", destination(&p.Tuple)),
+		zap.Uint32("result_code", uint32(action.Code)),
+		zap.Uint64("version", view.Version()),
+		zap.Int64("age_ms", fresh.Age.Milliseconds()),
+	)
+	if action.Member != nil {
+		endpoint := action.Member.Endpoint()
+		fields = append(fields, zap.String("endpoint", endpoint.Name), zap.String("service", endpoint.Service),
+			zap.String("data_centre", endpoint.DataCentre), zap.Uint32("label", uint32(action.Label)))
+	}
+	if action.Copies > 0 {
+		fields = append(fields, zap.Uint8("copies", action.Copies))
+	}
+	if action.Open > 0 {
+		fields = append(fields, zap.Int64("open_ms", action.Open.Milliseconds()))
+	}
+	o.logger.Info(action.Event.String(), fields...)
+}
+
+// expired takes a flow that ended without a packet and without a response.
+func (o *Observer) expired(e *steering.Expired) {
+	o.events.WithLabelValues("flow_expired").Inc()
+	if !o.allowed() {
+		return
+	}
+	endpoint := e.Member.Endpoint()
+	o.logger.Info("flow_expired", zap.String("flow", flowID(&e.Tuple, e.Sequence, true)),
+		zap.Stringer("to", destination(&e.Tuple)), zap.String("endpoint", endpoint.Name),
+		zap.Bool("answered", e.Answered), zap.Uint8("copies", e.Copies), zap.Int64("open_ms", e.Open.Milliseconds()))
+}
+
+// allowed reports whether a line may be written now, and writes how many were left
+// out before.
+func (o *Observer) allowed() bool {
+	o.mu.Lock()
+	if !o.limiter.Allow() {
+		o.suppressed++
+		o.mu.Unlock()
+		return false
+	}
+	suppressed := o.suppressed
+	o.suppressed = 0
+	o.mu.Unlock()
+	if suppressed > 0 {
+		o.logger.Warn("decisions_not_logged", zap.Uint64("count", suppressed))
+	}
+	return true
+}
+
+// flowID is the name of a flow in logs: the caller's address and port, and the
+// sequence number of the first packet where it is known.
+func flowID(t *common.FiveTuple, sequence uint32, first bool) string {
+	id := netip.AddrPortFrom(netip.AddrFrom4(t.Source), t.SourcePort).String()
+	if first {
+		id += "/" + strconv.FormatUint(uint64(sequence), 10)
+	}
+	return id
+}
+
+func destination(t *common.FiveTuple) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(t.Destination), t.DestinationPort)
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -33,18 +33,12 @@
 
 // Knowledge is what packets are decided by.
 type Knowledge interface {
-	// Current returns the present view and how old it is.
-	Current() (*steering.View, steering.Freshness)
+	// Current returns the view at a time and how old it is.
+	Current(now time.Duration) (*steering.View, steering.Freshness)
 	// Now returns the time of the decisions.
 	Now() time.Duration
 }
 
-// Observer is told of every packet. It must not block.
-type Observer interface {
-	Handled(p *steering.Packet, action steering.Action, fresh steering.Freshness, now time.Duration)
-	Dropped(code resultcode.Code)
-}
-
 const (
 	// maxPacketBytes is above the longest packet of a caller.
 	maxPacketBytes = 4096
@@ -58,14 +52,15 @@
 	socket    *net.UDPConn
 	codec     Codec
 	knowledge Knowledge
-	observer  Observer
+	observer  *Observer
 	flows     *steering.Table
 	tomb      tomb.Tomb
+	started   atomic.Bool
 	received  atomic.Int64 // time of the last packet
 }
 
 // Listen opens the socket. Packets wait in it until Start.
-func Listen(address netip.AddrPort, codec Codec, knowledge Knowledge, observer Observer, maxFlows int) (*Server, error) {
+func Listen(address netip.AddrPort, codec Codec, knowledge Knowledge, observer *Observer, maxFlows int) (*Server, error) {
 	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, fmt.Errorf("open UDP socket on %s: %w", address, err)
@@ -82,6 +77,7 @@
 
 // Start begins to handle packets.
 func (s *Server) Start() {
+	s.started.Store(true)
 	s.tomb.Go(s.run)
 	s.tomb.Go(s.expire)
 }
@@ -99,6 +95,9 @@
 func (s *Server) Stop() error {
 	s.tomb.Kill(nil)
 	_ = s.socket.Close()
+	if !s.started.Load() {
+		return nil
+	}
 	return s.tomb.Wait()
 }
 
@@ -124,12 +123,12 @@
 	now := s.knowledge.Now()
 	s.received.Store(int64(now))
 	if code := s.codec.Decode(data, &p); code != resultcode.OK {
-		s.observer.Dropped(code)
+		s.observer.dropped(code)
 		return
 	}
-	view, fresh := s.knowledge.Current()
+	view, fresh := s.knowledge.Current(now)
 	action := s.flows.Handle(view, &p, fresh, now)
-	s.observer.Handled(&p, action, fresh, now)
+	s.observer.handled(&p, &action, view, fresh)
 	switch action.Kind {
 	case steering.Forward:
 		s.forward(buffer[:s.codec.EnvelopeSize()+len(data)], data, action)
@@ -154,24 +153,35 @@
 
 func (s *Server) send(data []byte, to netip.AddrPort) {
 	if _, err := s.socket.WriteToUDPAddrPort(data, to); err != nil && s.tomb.Alive() {
-		s.observer.Dropped(resultcode.PacketSendFailed)
+		s.observer.dropped(resultcode.PacketSendFailed)
 	}
 }
 
-// expireInterval is the time between two sweeps of a part of the flow table.
-const expireInterval = 250 * time.Millisecond
+// expireInterval is the time between two sweeps of the flow table.
+const expireInterval = 500 * time.Millisecond
 
-// expire ends idle flows, one part of the table at a time.
+// expire ends idle flows.
 func (s *Server) expire() error {
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
-	for index := 0; ; index = (index + 1) % steering.Shards {
+	for {
 		select {
 		case <-s.tomb.Dying():
 			return nil
 		case <-ticker.C:
-			view, _ := s.knowledge.Current()
-			s.flows.Expire(index, view.IdleTimeout(), s.knowledge.Now())
+			s.expireOnce()
 		}
 	}
 }
+
+func (s *Server) expireOnce() {
+	now := s.knowledge.Now()
+	view, _ := s.knowledge.Current(now)
+	var expired []steering.Expired
+	for index := range steering.Shards {
+		expired = s.flows.Expire(index, view.IdleTimeout(), now, expired)
+	}
+	for i := range expired {
+		s.observer.expired(&expired[i])
+	}
+}
--- a/internal/objectstore/objectstore.go
+++ b/internal/objectstore/objectstore.go
@@ -45,9 +45,10 @@
 	List(ctx context.Context, kind, after string) (Listing, error)
 	// Get returns one object.
 	Get(ctx context.Context, kind, name string) (Object, error)
-	// Create writes a new object.
+	// Create writes a new object. When there is one already it returns that, with
+	// an error of the code PlatformExists.
 	Create(ctx context.Context, object Object) (Object, error)
-	// Update replaces an object that still has its revision.
+	// Update replaces an object that still has its revision; 0 replaces any.
 	Update(ctx context.Context, object Object) (Object, error)
 	// Delete removes an object that still has the revision; 0 removes any.
 	Delete(ctx context.Context, kind, name string, revision uint64) error
--- /dev/null
+++ b/internal/observe/async_test.go
@@ -0,0 +1,62 @@
+package observe
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// blockedOutput blocks writes until it is released.
+type blockedOutput struct {
+	release chan struct{}
+	mu      sync.Mutex
+	written bytes.Buffer
+}
+
+func (b *blockedOutput) Write(p []byte) (int, error) {
+	<-b.release
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.written.Write(p)
+}
+
+// Guards against a log reader that stops reading and thereby stops the packet
+// path, and against lines that vanish without a count.
+func TestAsyncWriterNeverBlocksAndCountsWhatIsLost(t *testing.T) {
+	output := &blockedOutput{release: make(chan struct{})}
+	writer := NewAsyncWriter(output, "test")
+	line := []byte(strings.Repeat("x", 1023) + "\n")
+	started := time.Now()
+	const lines = 3 * asyncBytes / 1024
+	for range lines {
+		if n, err := writer.Write(line); n != len(line) || err != nil {
+			t.Fatalf("wrote %d, %v", n, err)
+		}
+	}
+	if took := time.Since(started); took > time.Second {
+		t.Fatalf("writing to a blocked output took %v", took)
+	}
+	close(output.release)
+	writer.Close()
+	text := output.written.String()
+	if !strings.Contains(text, "event=log_lines_lost program=test lines=") {
+		t.Error("the lost lines are not counted")
+	}
+	if kept := strings.Count(text, string(line)); kept == 0 || kept >= lines {
+		t.Errorf("%d of %d lines kept", kept, lines)
+	}
+}
+
+// Guards against the last lines before the end getting lost.
+func TestAsyncWriterWritesAllOnClose(t *testing.T) {
+	var output bytes.Buffer
+	writer := NewAsyncWriter(&output, "test")
+	_, _ = writer.Write([]byte("one\n"))
+	_, _ = writer.Write([]byte("two\n"))
+	writer.Close()
+	if output.String() != "one\ntwo\n" {
+		t.Errorf("written: %q", output.String())
+	}
+}
--- a/internal/observe/log.go
+++ b/internal/observe/log.go
@@ -13,15 +13,20 @@
 // NewLogger returns a logger that writes one line of key=value pairs for each
 // event. The level is "debug", "info", "warn" or "error".
 func NewLogger(output io.Writer, level, program string) (*zap.Logger, error) {
-	parsed, err := zapcore.ParseLevel(level)
+	parsed, err := zap.ParseAtomicLevel(level)
 	if err != nil {
 		return nil, err
 	}
+	return NewLeveledLogger(output, parsed, program), nil
+}
+
+// NewLeveledLogger is NewLogger with a level that can be changed.
+func NewLeveledLogger(output io.Writer, level zap.AtomicLevel, program string) *zap.Logger {
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	config.TimeKey = "time"
 	config.MessageKey = "event"
 	config.EncodeDuration = zapcore.StringDurationEncoder
-	core := zapcore.NewCore(zaplogfmt.NewEncoder(config), zapcore.Lock(zapcore.AddSync(output)), parsed)
-	return zap.New(core).With(zap.String("program", program)), nil
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(config), zapcore.Lock(zapcore.AddSync(output)), level)
+	return zap.New(core).With(zap.String("program", program))
 }
--- a/proto/generate.sh
+++ b/proto/generate.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")"
 module=burdockrelay.example/burdockrelay
 # protoc-gen-twirp handles one Go package a run.
-for file in entry.proto peer.proto admin.proto; do
+for file in entry.proto peer.proto admin.proto sync.proto; do
   protoc -I . --go_out=.. --go_opt="module=$module" \
     --twirp_out=.. --twirp_opt="module=$module" "$file"
 done
