--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -43,7 +43,8 @@
 func (r *Registry) Run(ctx context.Context) error {
 	interval := backoff.NewExponentialBackOff()
 	interval.MaxInterval = registerMaxInterval
-	_, err := backoff.Retry(ctx, func() (struct{}, error) {
+	// The tries end with success or with the context.
+	_, _ = backoff.Retry(ctx, func() (struct{}, error) {
 		err := r.register(ctx)
 		if err == nil {
 			err = r.list(ctx)
@@ -53,10 +54,7 @@
 		}
 		return struct{}{}, err
 	}, backoff.WithBackOff(interval), backoff.WithMaxElapsedTime(0))
-	if ctx.Err() != nil {
-		return nil
-	}
-	return err
+	return nil
 }
 
 // register writes the instance's object unless it is there already.
@@ -69,17 +67,24 @@
 	}
 	own := objectstore.Object{Kind: instanceKind, Name: r.Self.Name, Content: content}
 	present, err := r.Store.Create(ctx, own)
-	if code, _ := resultcode.Of(err); code != resultcode.PlatformExists {
-		return err
-	}
-	var written registration
-	if json.Unmarshal(present.Content, &written) == nil && written == (registration{Address: r.Self.Address}) {
-		return nil
+	code, _ := resultcode.Of(err)
+	switch {
+	case code != resultcode.PlatformExists:
+	case r.written(&present):
+		err = nil
+	default:
+		_, err = r.Store.Update(ctx, own)
 	}
-	_, err = r.Store.Update(ctx, own)
 	return err
 }
 
+// written reports whether an object is the registration of this instance as it is.
+func (r *Registry) written(present *objectstore.Object) bool {
+	var content registration
+	err := json.Unmarshal(present.Content, &content)
+	return err == nil && content.Address == r.Self.Address
+}
+
 func (r *Registry) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -3,6 +3,7 @@
 package relayd
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -82,7 +83,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(loaded.MemoryMB) * (1 << 20)))
 	}
 	i := &Instance{settings: loaded, logger: logger}
-	ctx := i.tomb.Context(nil)
+	ctx := i.tomb.Context(context.Background())
 	limits := freshness.SettingsFor(bound(loaded))
 	i.knowledge = discovery.NewKnowledge(loaded.DataCentre, limits.MaxAge, bootTime)
 	self := discovery.Peer{Name: loaded.Instance, Address: loaded.PeerListen}
@@ -97,8 +98,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := i.listen(registry, peers); err != nil {
-		i.Kill()
+	if err := i.listen(ctx, registry, peers); err != nil {
+		_ = i.Kill()
 		return nil, err
 	}
 	i.run(func() error { return i.syncer.Run(ctx) })
@@ -121,7 +122,7 @@
 }
 
 // listen opens the listeners and serves them.
-func (i *Instance) listen(registry *prometheus.Registry, peers *discovery.Peers) error {
+func (i *Instance) listen(ctx context.Context, registry *prometheus.Registry, peers *discovery.Peers) error {
 	ready, err := net.Listen("tcp", i.settings.ReadyListen.String())
 	if err != nil {
 		return fmt.Errorf("listen for readiness: %w", err)
@@ -132,7 +133,7 @@
 		return fmt.Errorf("listen for peers: %w", err)
 	}
 	service := &discovery.Service{Knowledge: i.knowledge, Peers: peers, Hear: i.syncer.Hear}
-	i.run(func() error { return service.Serve(i.tomb.Context(nil), peerListener) })
+	i.run(func() error { return service.Serve(ctx, peerListener) })
 	if !i.settings.MetricsListen.IsValid() {
 		return nil
 	}
