--- a/internal/decision/selection/selection.go
+++ b/internal/decision/selection/selection.go
@@ -30,6 +30,16 @@
 	failureCost = 20.0
 	// maxLeft bounds the members of a service that are kept after they left.
 	maxLeft = 1024
+	// initialHandshake is the time of a handshake assumed before any was seen.
+	initialHandshake = 5 * time.Millisecond
+	// handshakeShare is the share of one handshake in the mean.
+	handshakeShare = 0.05
+	// handshakesAwaited is how many mean handshakes an endpoint may take to
+	// answer, within minAnswerWait and maxAnswerWait. The latter is below the
+	// 200 ms after which callers repeat their first packet.
+	handshakesAwaited = 8
+	minAnswerWait     = 40 * time.Millisecond
+	maxAnswerWait     = 180 * time.Millisecond
 	// suspectCost puts suspect endpoints behind all others.
 	suspectCost = 1000.0
 )
@@ -42,14 +52,28 @@
 	mu      sync.Mutex
 	members []*Member
 	// left holds members that are no longer listed.
-	left    []*Member
-	usual   float64 // usual response time in ns
+	left  []*Member
+	usual float64 // usual response time in ns
+	// handshake is the mean time in ns until a caller has acknowledged the
+	// endpoint of a new flow.
+	handshake float64
+	// opening holds the choices of the last moments, oldest first.
+	opening []opening
 	choices uint64
 }
 
+// opening is the choice of an endpoint whose answer is awaited.
+type opening struct {
+	member *Member
+	at     time.Duration
+}
+
 // NewPool returns an empty pool of a service for an instance in a data centre.
 func NewPool(service, dataCentre string) *Pool {
-	return &Pool{service: service, dataCentre: dataCentre, usual: float64(initialResponse)}
+	return &Pool{
+		service: service, dataCentre: dataCentre,
+		usual: float64(initialResponse), handshake: float64(initialHandshake),
+	}
 }
 
 // Service returns the name of the service.
@@ -128,10 +152,41 @@
 
 // Choose returns the endpoint for a new flow and counts the flow as a waiting
 // request, or returns nil when no endpoint takes new flows. The endpoint avoid is
-// left out while there is another one.
-func (p *Pool) Choose(now time.Duration, avoid *Member) *Member {
+// left out while there is another one. silent are the endpoints that have become
+// suspect: they have not answered an earlier flow in due time.
+func (p *Pool) Choose(now time.Duration, avoid *Member) (chosen *Member, silent []*Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	silent = p.overdue(now)
+	chosen = p.choose(now, avoid)
+	if chosen != nil {
+		p.opening = append(p.opening, opening{member: chosen, at: now})
+	}
+	return chosen, silent
+}
+
+// overdue ends the wait for the answers to choices that are old enough, and makes
+// endpoints suspect that have shown no life since. An endpoint that refuses flows
+// shows itself in no other way: the refusal goes to the caller directly.
+func (p *Pool) overdue(now time.Duration) []*Member {
+	var silent []*Member
+	wait := min(max(time.Duration(handshakesAwaited*p.handshake), minAnswerWait), maxAnswerWait)
+	waited := 0
+	for _, o := range p.opening {
+		if now-o.at < wait {
+			break
+		}
+		waited++
+		if o.member.aliveAt < o.at && o.member.condition != Suspect {
+			o.member.setCondition(Suspect, now)
+			silent = append(silent, o.member)
+		}
+	}
+	p.opening = slices.Delete(p.opening, 0, waited)
+	return silent
+}
+
+func (p *Pool) choose(now time.Duration, avoid *Member) *Member {
 	best := p.cheapest(now, avoid)
 	if best == nil && avoid != nil {
 		best = p.cheapest(now, nil)
@@ -217,11 +272,16 @@
 	m.waiting = max(m.waiting-1, 0)
 }
 
-// Alive notes that the endpoint has sent something.
-func (m *Member) Alive(now time.Duration) {
-	m.pool.mu.Lock()
-	defer m.pool.mu.Unlock()
+// Opened notes that a caller has acknowledged the endpoint, a time after its first
+// packet was sent there, 0 when that is not known.
+func (m *Member) Opened(now, took time.Duration) {
+	p := m.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	m.alive(now)
+	if took > 0 {
+		p.handshake += handshakeShare * (min(float64(took), usualCap*p.handshake) - p.handshake)
+	}
 }
 
 func (m *Member) alive(now time.Duration) {
--- a/internal/decision/steering/steering.go
+++ b/internal/decision/steering/steering.go
@@ -18,8 +18,10 @@
 type Packet struct {
 	Tuple common.FiveTuple
 	Hash  common.FlowHash
-	// First is set for a packet that opens a flow.
+	// First is set for a packet that opens a flow. Copies then counts the earlier
+	// ones of the same flow that the caller has sent.
 	First           bool
+	Copies          uint8
 	Fin, Reset      bool
 	Label           label.Label
 	Sequence        uint32
@@ -78,8 +80,8 @@
 	Label  label.Label
 	// Copies counts the repeated first packets of the flow.
 	Copies uint8
-	// Suspected is set when the flow's former endpoint became suspect.
-	Suspected *selection.Member
+	// Suspected are the endpoints that became suspect.
+	Suspected []*selection.Member
 	// Response is the time until a response began, when the packet shows one.
 	Response time.Duration
 	// Open is how long the flow was open, when the packet ends it.
@@ -107,6 +109,9 @@
 	copiesBeforeMove = 2
 )
 
+// copyTimes are the times after its first packet at which a caller repeats it.
+var copyTimes = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+
 // Handle decides on a packet.
 func (t *Table) Handle(v *View, p *Packet, fresh Freshness, now time.Duration) Action {
 	s := &t.shards[uint64(p.Hash)>>(64-shardBits)]
@@ -134,6 +139,9 @@
 	if r == nil {
 		return noRoute(fresh)
 	}
+	if r.rule.Timeout > 0 && callerAge(p.Copies) >= r.rule.Timeout {
+		return refusal(resultcode.RefusedTooLate)
+	}
 	pool := r.pick(p.Hash)
 	if pool == nil {
 		return refusal(resultcode.RefusedNoEndpoint)
@@ -141,13 +149,27 @@
 	if len(s.flows) >= s.capacity {
 		return refusal(resultcode.RefusedTableFull)
 	}
-	m := pool.Choose(now, nil)
+	m, silent := pool.Choose(now, nil)
 	if m == nil {
 		return noEndpoint(fresh)
 	}
-	f = &flow{tuple: p.Tuple, sequence: p.Sequence, member: m, label: v.ownLabels[m], openedAt: now, sentAt: now, seenAt: now, waiting: true}
+	f = &flow{
+		tuple: p.Tuple, sequence: p.Sequence, member: m, label: v.ownLabels[m], copies: p.Copies,
+		openedAt: now, sentAt: now, seenAt: now, waiting: true, timeout: r.timeout(),
+	}
 	s.flows[p.Tuple] = f
-	return Action{Kind: Forward, Code: resultcode.PacketForwarded, Member: m, Label: f.label, Event: Chosen}
+	return Action{
+		Kind: Forward, Code: resultcode.PacketForwarded, Event: Chosen,
+		Member: m, Label: f.label, Copies: f.copies, Suspected: silent,
+	}
+}
+
+// callerAge returns how long ago the caller sent its first packet, at least.
+func callerAge(copies uint8) time.Duration {
+	if int(copies) >= len(copyTimes) {
+		return copyTimes[len(copyTimes)-1]
+	}
+	return copyTimes[copies]
 }
 
 func noRoute(fresh Freshness) Action {
@@ -186,18 +208,20 @@
 	if f.answered {
 		return Action{Kind: Drop, Code: resultcode.DroppedLateCopy}
 	}
-	f.copies++
+	f.copies = max(f.copies+1, p.Copies)
 	action := Action{Kind: Forward, Code: resultcode.PacketForwarded, Event: Repeated, Copies: f.copies}
 	former := f.member
 	silent := former.Unanswered(now, f.sentAt)
 	if silent {
-		action.Suspected = former
+		action.Suspected = append(action.Suspected, former)
 	}
 	status := former.Status(now)
 	move := status.Condition == selection.Suspect || f.copies >= copiesBeforeMove || status.Endpoint.Draining || !status.Listed
 	if move && r != nil {
 		if pool := r.pick(p.Hash); pool != nil {
-			s.move(v, f, pool.Choose(now, former), now)
+			to, silent := pool.Choose(now, former)
+			action.Suspected = append(action.Suspected, silent...)
+			f.move(v, to, now)
 		}
 	}
 	f.sentAt = now
@@ -205,7 +229,8 @@
 	return action
 }
 
-func (s *shard) move(v *View, f *flow, to *selection.Member, now time.Duration) {
+// move sends the flow to another endpoint, nil for none.
+func (f *flow) move(v *View, to *selection.Member, now time.Duration) {
 	if to == nil {
 		return
 	}
--- a/internal/decision/steering/table.go
+++ b/internal/decision/steering/table.go
@@ -42,8 +42,9 @@
 	answered bool
 	// finished is set once the caller has ended the flow.
 	finished bool
-	// waiting is set while a request has no response.
+	// waiting is set while a request has no response, for at most timeout.
 	waiting bool
+	timeout time.Duration
 	// acknowledged is the caller's last acknowledgement, sent the end of the
 	// caller's data.
 	acknowledged, sent uint32
@@ -112,7 +113,12 @@
 	f.acknowledged = p.Acknowledgement
 	f.sent = p.Sequence
 	f.requestedAt = now
-	f.member.Alive(now)
+	took := now - f.sentAt
+	if f.copies > 0 {
+		// It is not known which of the copies was answered.
+		took = 0
+	}
+	f.member.Opened(now, took)
 }
 
 // progress follows requests and responses: new data of the caller is a request,
@@ -152,6 +158,15 @@
 	return true
 }
 
+// forgo ends the request of a flow whose caller would have given up by now or
+// continues through another instance. It says nothing about the endpoint.
+func (f *flow) forgo() {
+	if f.answered {
+		f.waiting = false
+		f.member.Moved()
+	}
+}
+
 func (s *shard) remove(f *flow, now time.Duration) bool {
 	delete(s.flows, f.tuple)
 	return f.finish(now)
@@ -189,6 +204,9 @@
 		idleTimeout = DefaultIdleTimeout
 	}
 	for _, f := range s.flows {
+		if f.waiting && now-f.seenAt >= f.timeout {
+			f.forgo()
+		}
 		if now-f.seenAt < f.life(idleTimeout) || !s.remove(f, now) {
 			continue
 		}
--- a/internal/decision/steering/view.go
+++ b/internal/decision/steering/view.go
@@ -71,6 +71,17 @@
 	return r
 }
 
+// defaultTimeout is how long callers wait for a response when their rule does not
+// say it.
+const defaultTimeout = 3 * time.Second
+
+func (r *route) timeout() time.Duration {
+	if r.rule.Timeout > 0 {
+		return r.rule.Timeout
+	}
+	return defaultTimeout
+}
+
 // pick returns the pool for a new flow. All instances pick the same one for a
 // flow, so that copies of its first packet reach one service.
 func (r *route) pick(hash common.FlowHash) *selection.Pool {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -28,6 +28,8 @@
 	Address common.ServiceAddress
 	// Targets has one entry, or several that share new flows by weight.
 	Targets []Target
+	// Timeout is how long a caller waits for a response.
+	Timeout time.Duration
 }
 
 // Target is one service of a rule. A target of weight 0 gets no new flows.
--- a/internal/discovery/convert.go
+++ b/internal/discovery/convert.go
@@ -31,6 +31,7 @@
 	for _, rule := range c.Rules {
 		wireRule := &syncpb.Rule{
 			Name: rule.Name, Address: addressToWire(rule.Address.Address), Port: uint32(rule.Address.Port),
+			TimeoutMs: uint64(rule.Timeout.Milliseconds()),
 		}
 		for _, target := range rule.Targets {
 			wireRule.Targets = append(wireRule.Targets, &syncpb.Target{Service: target.Service, Weight: target.Weight})
@@ -59,6 +60,7 @@
 			Address: common.ServiceAddress{
 				Address: addressFromWire(wireRule.Address), Port: uint16(wireRule.Port), Protocol: common.ProtocolTCP,
 			},
+			Timeout: time.Duration(wireRule.TimeoutMs) * time.Millisecond,
 		}
 		for _, target := range wireRule.Targets {
 			rule.Targets = append(rule.Targets, directory.Target{Service: target.Service, Weight: target.Weight})
--- a/internal/ingress/observer.go
+++ b/internal/ingress/observer.go
@@ -92,8 +92,8 @@
 	if action.Response > 0 {
 		o.response(action.Member.Pool().Service(), action.Response)
 	}
-	if action.Suspected != nil {
-		o.suspected(action.Suspected)
+	for _, m := range action.Suspected {
+		o.suspected(m)
 	}
 	if action.Event == steering.Continued {
 		return
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -38,11 +38,14 @@
 	// holdPackets is how long packets wait in the socket for the first
 	// configuration after a start.
 	holdPackets = 400 * time.Millisecond
-	// quietBeforeStop is how long no packet may come before a graceful stop ends:
-	// two probes of the routers have then found the instance not ready.
-	quietBeforeStop = 700 * time.Millisecond
-	// leastStop is the time of a graceful stop that the routers need to notice.
-	leastStop = 1200 * time.Millisecond
+	// missesBeforeStop is the number of probes after which the routers leave an
+	// instance out that is not ready.
+	missesBeforeStop = 2
+	// quietBeforeStop is how long no packet may come after that before a graceful
+	// stop ends.
+	quietBeforeStop = 100 * time.Millisecond
+	// stopTick is the time between two looks during a stop.
+	stopTick = 20 * time.Millisecond
 	// stopMargin is left of the stop deadline to end by itself.
 	stopMargin = time.Second
 	// memoryShare is the part of the allowed memory that the heap may take.
@@ -59,7 +62,9 @@
 	syncer    *discovery.Syncer
 	packets   *ingress.Server
 	stopping  atomic.Bool
-	tomb      tomb.Tomb
+	// misses counts the probes that found the instance stopping.
+	misses atomic.Int32
+	tomb   tomb.Tomb
 }
 
 // bootTime returns the time since the machine started. Unlike the monotonic clock
@@ -162,6 +167,9 @@
 // ready answers the routers' probes. An instance with old knowledge is ready: it
 // serves better than none.
 func (i *Instance) ready(w http.ResponseWriter, _ *http.Request) {
+	if i.stopping.Load() {
+		i.misses.Add(1)
+	}
 	if i.stopping.Load() || !i.knowledge.Known() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
@@ -197,11 +205,11 @@
 	for {
 		now := i.knowledge.Now()
 		quiet := now-max(began, i.packets.LastPacket()) >= quietBeforeStop
-		if now-began >= deadline || quiet && now-began >= leastStop {
+		if now-began >= deadline || quiet && i.misses.Load() >= missesBeforeStop {
 			i.logger.Info("stopped", zap.Bool("quiet", quiet), zap.Duration("took", now-began))
 			return i.Kill()
 		}
-		time.Sleep(quietBeforeStop / 10)
+		time.Sleep(stopTick)
 	}
 }
 
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -49,6 +49,7 @@
 	RefusedNoEndpoint    Code = 1201
 	RefusedEndpointLimit Code = 1202
 	RefusedRateLimit     Code = 1203
+	RefusedTooLate       Code = 1204
 	DroppedFirstData     Code = 1210
 	DroppedNoTables      Code = 1211
 	DroppedLateCopy      Code = 1212
