Ask peers when the own reads fail, start from what peers know

Found by reading: the first instance in the order never asked others, so one that the store turned away alone kept old knowledge; a slow store never let a read of changes finish; a label of two endpoints with one number, of which one is a foreign entry without a start time, went to the foreign one; a missing metrics port ended the process. Refusals now need a settled list of endpoints, resets of open flows a longer time.

--- a/internal/decision/freshness/freshness.go
+++ b/internal/decision/freshness/freshness.go
@@ -32,6 +32,9 @@
 	PeerRest, MaxPeerRest time.Duration
 	// MaxBackoff bounds the time between reads that fail.
 	MaxBackoff time.Duration
+	// OutageAge is the age at which the next confirmation counts as the store's
+	// return from an outage.
+	OutageAge time.Duration
 }
 
 const (
@@ -45,6 +48,9 @@
 	defaultFollowersPerReader = 64
 	defaultPeerRest           = 2 * time.Second
 	defaultMaxPeerRest        = 30 * time.Second
+	// minOutageAge is below the time in which entries expire in an outage, three
+	// heartbeats of the endpoints.
+	minOutageAge = 1600 * time.Millisecond
 	// blankInterval is the time between failing reads while nothing is known.
 	blankInterval = 100 * time.Millisecond
 	// readPart is the part of an interval that is left to the reader for a read.
@@ -72,6 +78,7 @@
 		PeerRest:           defaultPeerRest,
 		MaxPeerRest:        defaultMaxPeerRest,
 		MaxBackoff:         2 * interval,
+		OutageAge:          max(minOutageAge, interval*5/4),
 	}
 }
 
@@ -93,6 +100,7 @@
 	askedAt     time.Duration
 	nextAsk     time.Duration
 	neverTried  bool
+	firstRead   time.Duration
 	staggerPart time.Duration
 }
 
@@ -136,6 +144,9 @@
 	p.order = order
 }
 
+// HasPeers reports whether any other instance is known.
+func (p *Plan) HasPeers() bool { return len(p.order) > 1 }
+
 // Age returns the time since what is known was confirmed, false when nothing is
 // known.
 func (p *Plan) Age(now time.Duration) (time.Duration, bool) {
@@ -167,11 +178,12 @@
 }
 
 // reader returns the instance to ask: this one if it is one of the first that are
-// not passed over, else the one of them that its hash picks.
+// not passed over, else the one of them that its hash picks. An instance whose last
+// read failed passes itself over, because the store may turn it away alone.
 func (p *Plan) reader(now time.Duration) string {
 	var first []string
 	for _, candidate := range p.order {
-		if candidate.name != p.self && candidate.restUntil > now {
+		if p.passedOver(candidate, now) {
 			continue
 		}
 		first = append(first, candidate.name)
@@ -179,12 +191,19 @@
 			break
 		}
 	}
-	if slices.Contains(first, p.self) {
+	if len(first) == 0 || slices.Contains(first, p.self) {
 		return p.self
 	}
 	return first[xxhash.Sum64String(p.self)%uint64(len(first))]
 }
 
+func (p *Plan) passedOver(candidate *peer, now time.Duration) bool {
+	if candidate.name == p.self {
+		return p.failures > 0
+	}
+	return candidate.restUntil > now
+}
+
 func (p *Plan) planAsk(step *Step, reader string, now time.Duration) {
 	if p.asking != "" {
 		return
@@ -214,8 +233,8 @@
 
 func (p *Plan) readDue(isReader bool) time.Duration {
 	switch {
-	case p.neverTried:
-		return 0
+	case p.neverTried && !p.known:
+		return p.firstRead
 	case !p.known:
 		return p.nextRead
 	case isReader:
@@ -225,6 +244,10 @@
 	}
 }
 
+// HoldFirstRead puts off the first read of an instance that has just started, so
+// that peers can tell it what they know.
+func (p *Plan) HoldFirstRead(until time.Duration) { p.firstRead = until }
+
 // Confirmed notes that what is known was current at a time, and reports whether
 // that is news.
 func (p *Plan) Confirmed(at time.Duration) bool {
--- a/internal/decision/label/label.go
+++ b/internal/decision/label/label.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -44,7 +45,7 @@
 	Number uint64
 	// Live is false for an endpoint that has left or is missing.
 	Live bool
-	// Born is the start of the endpoint in Unix milliseconds.
+	// Born is the start of the endpoint in Unix milliseconds, 0 when unknown.
 	Born int64
 }
 
@@ -53,12 +54,21 @@
 	if h.Live != other.Live {
 		return h.Live
 	}
-	if order := cmp.Compare(h.Born, other.Born); order != 0 {
+	if order := cmp.Compare(h.bornOrLast(), other.bornOrLast()); order != 0 {
 		return order < 0
 	}
 	return h.Number < other.Number
 }
 
+// bornOrLast puts an endpoint of unknown start behind the others: its entry may
+// come from a foreign writer.
+func (h Holder) bornOrLast() int64 {
+	if h.Born == 0 {
+		return math.MaxInt64
+	}
+	return h.Born
+}
+
 // Table resolves labels to the positions of their holders.
 type Table struct {
 	positions map[Label]int
--- a/internal/decision/steering/steering.go
+++ b/internal/decision/steering/steering.go
@@ -94,9 +94,16 @@
 	Known bool
 	// Age is the time since the store, or a peer that read it, confirmed it.
 	Age time.Duration
-	// Complete is set when the list of endpoints is confirmed and the store has
-	// not just come back from an outage: an endpoint that is not on it is gone.
-	Complete bool
+	// Settled is the time since the instance started or the store last came back
+	// from an outage. Endpoints may be missing from the store's list for a while
+	// then.
+	Settled time.Duration
+}
+
+// complete reports whether an endpoint that is not known is none, because the list
+// of endpoints is confirmed and has been for a time.
+func (f *Freshness) complete(settled time.Duration) bool {
+	return f.Known && f.Age <= maxRefusalAge && f.Settled >= settled
 }
 
 const (
@@ -104,6 +111,14 @@
 	// address is refused; the caller's next copy of the packet finds newer
 	// knowledge otherwise.
 	maxRefusalAge = 1500 * time.Millisecond
+	// settledForRefusal is how long the list of endpoints must be settled before a
+	// flow is refused for want of one: endpoints that lost their entries in an
+	// outage of the store are back within about two seconds.
+	settledForRefusal = 2300 * time.Millisecond
+	// settledForReset is how long it must be settled before a flow is reset whose
+	// endpoint is not known. A reset ends a flow that may still be served, so the
+	// time is longer.
+	settledForReset = 5 * time.Second
 	// copiesBeforeMove is the number of copies of a first packet after which
 	// the flow moves even from an endpoint that answers others.
 	copiesBeforeMove = 2
@@ -186,7 +201,7 @@
 // noEndpoint refuses a flow at once when the list of endpoints can be trusted;
 // otherwise the caller's next copy of the packet may find one.
 func noEndpoint(fresh Freshness) Action {
-	if !fresh.Complete {
+	if !fresh.complete(settledForRefusal) {
 		return dropped(resultcode.RefusedNoEndpoint)
 	}
 	return refusal(resultcode.RefusedNoEndpoint)
@@ -263,7 +278,7 @@
 // unknownLabel handles a packet whose endpoint is not known. It is refused only
 // when the endpoint cannot be one that this instance has not heard of yet.
 func unknownLabel(p *Packet, fresh Freshness) Action {
-	if !fresh.Complete || p.Reset {
+	if !fresh.complete(settledForReset) || p.Reset {
 		return dropped(resultcode.RouteUnknownFlow)
 	}
 	return refusal(resultcode.RouteEndpointGone)
--- a/internal/discovery/convert.go
+++ b/internal/discovery/convert.go
@@ -1,10 +1,16 @@
 package discovery
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/binary"
+	"fmt"
+	"io"
 	"net/netip"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"burdockrelay.example/burdockrelay/common"
 	"burdockrelay.example/burdockrelay/internal/directory"
 	"burdockrelay.example/burdockrelay/proto/syncpb"
@@ -21,10 +27,44 @@
 	return netip.AddrFrom4(bytes)
 }
 
-func configurationToWire(c *directory.Configuration) *syncpb.Configuration {
-	if c == nil {
-		return nil
+// maxConfigurationBytes bounds a configuration of a peer.
+const maxConfigurationBytes = 16 << 20
+
+// encodeConfiguration returns a configuration for peers, compressed: names and
+// addresses of rules repeat.
+func encodeConfiguration(c *directory.Configuration) ([]byte, error) {
+	content, err := proto.Marshal(configurationToWire(c))
+	if err != nil {
+		return nil, fmt.Errorf("encode configuration: %w", err)
+	}
+	var compressed bytes.Buffer
+	writer := gzip.NewWriter(&compressed)
+	if _, err := writer.Write(content); err != nil {
+		return nil, fmt.Errorf("compress configuration: %w", err)
+	}
+	if err := writer.Close(); err != nil {
+		return nil, fmt.Errorf("compress configuration: %w", err)
+	}
+	return compressed.Bytes(), nil
+}
+
+func decodeConfiguration(compressed []byte) (*directory.Configuration, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(compressed))
+	if err != nil {
+		return nil, err
+	}
+	content, err := io.ReadAll(io.LimitReader(reader, maxConfigurationBytes))
+	if err != nil {
+		return nil, err
 	}
+	var wire syncpb.Configuration
+	if err := proto.Unmarshal(content, &wire); err != nil {
+		return nil, err
+	}
+	return configurationFromWire(&wire), nil
+}
+
+func configurationToWire(c *directory.Configuration) *syncpb.Configuration {
 	wire := &syncpb.Configuration{
 		Version: c.Version, Revision: c.Revision, IdleTimeoutMs: uint64(c.IdleTimeout.Milliseconds()),
 	}
@@ -47,9 +87,6 @@
 }
 
 func configurationFromWire(wire *syncpb.Configuration) *directory.Configuration {
-	if wire == nil {
-		return nil
-	}
 	c := &directory.Configuration{
 		Version: wire.Version, Revision: wire.Revision,
 		IdleTimeout: time.Duration(wire.IdleTimeoutMs) * time.Millisecond,
--- a/internal/discovery/knowledge.go
+++ b/internal/discovery/knowledge.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"burdockrelay.example/burdockrelay/internal/decision/freshness"
 	"burdockrelay.example/burdockrelay/internal/decision/label"
 	"burdockrelay.example/burdockrelay/internal/decision/selection"
 	"burdockrelay.example/burdockrelay/internal/decision/steering"
@@ -15,18 +16,12 @@
 )
 
 const (
-	// flowLife is how long an endpoint that is no longer listed is remembered for
-	// the flows that name it.
-	flowLife = 60 * time.Second
 	// returnGrace is how long after the store's return an endpoint may be missing
 	// from it and yet serve: entries that expired during an outage are back
 	// within about two seconds.
 	returnGrace = 2300 * time.Millisecond
 	// returnSlack allows for the time that a peer takes to tell of the return.
 	returnSlack = 250 * time.Millisecond
-	// completeAge is the age up to which an endpoint that is not listed is taken
-	// to be gone.
-	completeAge = 1500 * time.Millisecond
 )
 
 // Knowledge holds what the instance knows. Its methods are safe for concurrent
@@ -34,6 +29,9 @@
 type Knowledge struct {
 	dataCentre string
 	clock      func() time.Duration
+	// flowLife is how long an endpoint that is no longer listed is remembered for
+	// the flows that name it.
+	flowLife time.Duration
 	// outageAge is the age of the knowledge from which its next confirmation
 	// counts as the store's return.
 	outageAge time.Duration
@@ -50,14 +48,16 @@
 	ready       chan struct{}
 }
 
-// NewKnowledge returns the empty knowledge of an instance in a data centre. clock
+// NewKnowledge returns the empty knowledge of an instance in a data centre, where
+// flows live for flowLife at most and changes take effect within the bound. clock
 // returns the time since a fixed moment and goes on while the machine is
 // suspended.
-func NewKnowledge(dataCentre string, outageAge time.Duration, clock func() time.Duration) *Knowledge {
+func NewKnowledge(dataCentre string, flowLife, bound time.Duration, clock func() time.Duration) *Knowledge {
 	k := &Knowledge{
 		dataCentre: dataCentre,
 		clock:      clock,
-		outageAge:  outageAge,
+		flowLife:   flowLife,
+		outageAge:  freshness.SettingsFor(bound).OutageAge,
 		catalog:    directory.NewCatalog(),
 		pools:      make(map[string]*selection.Pool),
 		former:     make(map[string]*selection.Member),
@@ -74,10 +74,11 @@
 // Current returns the view for packets and how fresh it is now.
 func (k *Knowledge) Current(now time.Duration) (*steering.View, steering.Freshness) {
 	view := k.current.Load()
-	fresh := steering.Freshness{Known: view.Version() != 0, Age: now - time.Duration(k.confirmedAt.Load())}
-	settled := now - time.Duration(k.returnedAt.Load())
-	fresh.Complete = fresh.Known && fresh.Age < completeAge && settled > returnGrace
-	return view, fresh
+	return view, steering.Freshness{
+		Known:   view.Version() != 0,
+		Age:     now - time.Duration(k.confirmedAt.Load()),
+		Settled: now - time.Duration(k.returnedAt.Load()),
+	}
 }
 
 // Known reports whether the instance has a configuration.
@@ -154,7 +155,7 @@
 	if !applied.Usable {
 		return applied
 	}
-	if k.catalog.Forget(flowLife, now) > 0 || applied.Changed {
+	if k.catalog.Forget(k.flowLife, now) > 0 || applied.Changed {
 		k.publish(now)
 	}
 	k.confirmedAt.Store(max(k.confirmedAt.Load(), int64(confirmedAt)))
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -80,6 +80,13 @@
 	return names
 }
 
+// Count returns the number of peers heard of.
+func (p *Peers) Count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.known)
+}
+
 // Address returns the address of a peer.
 func (p *Peers) Address(name string) (netip.AddrPort, bool) {
 	p.mu.Lock()
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -28,11 +28,16 @@
 	Store  objectstore.Store
 	Self   Peer
 	Logger *zap.Logger
+	// Peers are the instances known already. The store is asked for others only
+	// while there are none.
+	Peers *Peers
 	// Found is told of the other instances that the store lists.
 	Found func(ctx context.Context, peers ...*syncpb.Peer)
 }
 
 const (
+	// registerDelay lets the seeds tell of the others first.
+	registerDelay = 300 * time.Millisecond
 	// registerTimeout bounds one call.
 	registerTimeout = 2 * time.Second
 	// registerMaxInterval bounds the time between tries while the store is away.
@@ -41,12 +46,17 @@
 
 // Run registers the instance and reads the others once, again until it succeeds.
 func (r *Registry) Run(ctx context.Context) error {
+	select {
+	case <-time.After(registerDelay):
+	case <-ctx.Done():
+		return nil
+	}
 	interval := backoff.NewExponentialBackOff()
 	interval.MaxInterval = registerMaxInterval
 	// The tries end with success or with the context.
 	_, _ = backoff.Retry(ctx, func() (struct{}, error) {
 		err := r.register(ctx)
-		if err == nil {
+		if err == nil && r.Peers.Count() == 0 {
 			err = r.list(ctx)
 		}
 		if err != nil {
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -6,9 +6,13 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"burdockrelay.example/burdockrelay/internal/directory"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
 	"burdockrelay.example/burdockrelay/proto/syncpb"
 )
 
@@ -18,6 +22,11 @@
 	Peers     *Peers
 	// Hear is told of the instances that ask.
 	Hear func(ctx context.Context, peers ...*syncpb.Peer)
+
+	mu sync.Mutex
+	// encoded is the last configuration sent, of the revision encodedAt.
+	encoded   []byte
+	encodedAt uint64
 }
 
 var _ syncpb.Sync = (*Service)(nil)
@@ -29,11 +38,15 @@
 	}
 	now := s.Knowledge.Now()
 	update, confirmedAt, returnedAt := s.Knowledge.Difference(request.ConfigurationRevision, request.EndpointsRevision)
+	configuration, err := s.encode(update.Configuration)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
 	response := &syncpb.FetchResponse{
 		Known:             s.Knowledge.Known(),
 		AgeUs:             uint64(max(now-confirmedAt, 0).Microseconds()),
 		ReturnedUs:        uint64(max(now-returnedAt, 0).Microseconds()),
-		Configuration:     configurationToWire(update.Configuration),
+		Configuration:     configuration,
 		EndpointsRevision: update.At,
 		SinceRevision:     update.Since,
 		Full:              update.Full,
@@ -47,15 +60,39 @@
 	return response, nil
 }
 
-func updateFromWire(response *syncpb.FetchResponse, now time.Duration) directory.Update {
+// encode returns a configuration for an answer, nil for none.
+func (s *Service) encode(c *directory.Configuration) ([]byte, error) {
+	if c == nil {
+		return nil, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.encodedAt == c.Revision {
+		return s.encoded, nil
+	}
+	encoded, err := encodeConfiguration(c)
+	if err != nil {
+		return nil, err
+	}
+	s.encoded, s.encodedAt = encoded, c.Revision
+	return encoded, nil
+}
+
+func updateFromWire(response *syncpb.FetchResponse, now time.Duration) (directory.Update, error) {
 	update := directory.Update{
 		Since: response.SinceRevision, At: response.EndpointsRevision, Full: response.Full,
-		Configuration: configurationFromWire(response.Configuration),
+	}
+	if len(response.Configuration) > 0 {
+		configuration, err := decodeConfiguration(response.Configuration)
+		if err != nil {
+			return update, resultcode.Errorf(resultcode.PeerBadDatagram, "configuration of a peer: %w", err)
+		}
+		update.Configuration = configuration
 	}
 	for _, wire := range response.Endpoints {
 		update.Endpoints = append(update.Endpoints, knownFromWire(wire, now))
 	}
-	return update
+	return update, nil
 }
 
 // peerClient calls the Sync service of peers.
--- a/internal/discovery/syncer.go
+++ b/internal/discovery/syncer.go
@@ -31,14 +31,21 @@
 	// maxReadTimeout.
 	readTimeout    = 400 * time.Millisecond
 	maxReadTimeout = 3200 * time.Millisecond
-	// changesTimeout bounds a read of changes. It is short, because such a read
+	// changesPart is the part of a read's time that a read of changes may take: it
 	// waits without end while the store forgets its history.
-	changesTimeout = 200 * time.Millisecond
+	changesPart = 2
+	// seedInterval is the time between questions to the seeds while no peer is
+	// known.
+	seedInterval = time.Second
+	// seedHold is how long the first read of the store waits for the seeds, which
+	// answer in a few milliseconds when they can.
+	seedHold = 30 * time.Millisecond
 	// fullReadsAfterMiss is how long after an incomplete read of changes
 	// everything is read instead.
 	fullReadsAfterMiss = 5 * time.Second
-	// askTimeout bounds the answer of a peer.
-	askTimeout = 250 * time.Millisecond
+	// askPart is the part of the bound between a change and its effect that a peer
+	// may take to answer.
+	askPart = 10
 )
 
 // Syncer keeps the knowledge of an instance fresh.
@@ -56,12 +63,16 @@
 	// fullUntil is when changes are read again instead of everything.
 	fullUntil time.Duration
 	storeUp   bool
+	// seedsAsked counts the seeds that have not answered yet.
+	seedsAsked int
 }
 
-// NewSyncer returns a syncer that reads the source and asks peers.
-func NewSyncer(plan *freshness.Plan, knowledge *Knowledge, peers *Peers, source Source, metrics *Metrics, logger *zap.Logger) *Syncer {
+// NewSyncer returns a syncer that reads the source and asks peers, so that a change
+// in the store is known within the bound.
+func NewSyncer(self string, bound time.Duration, knowledge *Knowledge, peers *Peers, source Source, metrics *Metrics, logger *zap.Logger) *Syncer {
 	return &Syncer{
-		plan: plan, knowledge: knowledge, peers: peers, source: source, client: newPeerClient(askTimeout),
+		plan:      freshness.NewPlan(self, freshness.SettingsFor(bound)),
+		knowledge: knowledge, peers: peers, source: source, client: newPeerClient(bound / askPart),
 		metrics: metrics, logger: logger,
 		events: make(chan func(), 64), timeout: readTimeout, storeUp: true,
 	}
@@ -69,11 +80,15 @@
 
 // Run keeps the knowledge fresh until the context ends.
 func (s *Syncer) Run(ctx context.Context) error {
-	s.askSeeds(ctx)
+	seedsAskedAt := -seedInterval
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		now := s.knowledge.Now()
+		if now-seedsAskedAt >= seedInterval && !s.plan.HasPeers() {
+			seedsAskedAt = now
+			s.askSeeds(ctx)
+		}
 		step := s.plan.Next(now)
 		s.start(ctx, step)
 		wake := step.Wake
@@ -119,7 +134,7 @@
 	began := s.knowledge.Now()
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	update, incomplete, err := s.fetch(callCtx, full)
+	update, incomplete, err := s.fetch(callCtx, timeout/changesPart, full)
 	s.post(ctx, func() {
 		now := s.knowledge.Now()
 		if incomplete {
@@ -134,7 +149,7 @@
 }
 
 // fetch returns what has changed in the store, nothing when its revision has not.
-func (s *Syncer) fetch(ctx context.Context, full bool) (update directory.Update, incomplete bool, err error) {
+func (s *Syncer) fetch(ctx context.Context, changesTimeout time.Duration, full bool) (update directory.Update, incomplete bool, err error) {
 	at, _ := s.knowledge.At()
 	if at == 0 {
 		update, err = s.source.Everything(ctx)
@@ -148,7 +163,7 @@
 		return directory.Update{Since: at, At: at}, false, nil
 	}
 	if !full {
-		update, err = s.changes(ctx, at)
+		update, err = s.changes(ctx, changesTimeout, at)
 		if err == nil && update.At >= revision {
 			return update, false, nil
 		}
@@ -159,8 +174,8 @@
 	return update, !full, err
 }
 
-func (s *Syncer) changes(ctx context.Context, since uint64) (directory.Update, error) {
-	ctx, cancel := context.WithTimeout(ctx, changesTimeout)
+func (s *Syncer) changes(ctx context.Context, timeout time.Duration, since uint64) (directory.Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return s.source.Changes(ctx, since)
 }
@@ -224,7 +239,11 @@
 	if answer.ReturnedUs > 0 {
 		returnedAt = asked - time.Duration(answer.ReturnedUs)*time.Microsecond
 	}
-	update := updateFromWire(answer, now)
+	update, err := updateFromWire(answer, now)
+	if err != nil {
+		s.logger.Error("peer_unreadable", zap.String("peer", name), zap.Error(err))
+		return
+	}
 	s.apply(update, asked-age, returnedAt, name)
 }
 
@@ -277,9 +296,25 @@
 	s.post(ctx, func() { s.plan.SetSettings(freshness.SettingsFor(bound)) })
 }
 
-// askSeeds asks the instances that are known by address only, once.
+// askSeeds asks the instances that are known by address only.
 func (s *Syncer) askSeeds(ctx context.Context) {
-	for _, seed := range s.peers.Seeds() {
-		go s.ask(ctx, seed.String(), seed)
+	seeds := s.peers.Seeds()
+	if len(seeds) > 0 && s.seedsAsked == 0 {
+		s.plan.HoldFirstRead(s.knowledge.Now() + seedHold)
+	}
+	s.seedsAsked += len(seeds)
+	for _, seed := range seeds {
+		go func() {
+			s.ask(ctx, seed.String(), seed)
+			s.post(ctx, s.seedAnswered)
+		}()
+	}
+}
+
+// seedAnswered lets the first read go on when no seed is left that could answer.
+func (s *Syncer) seedAnswered() {
+	s.seedsAsked--
+	if s.seedsAsked == 0 {
+		s.plan.HoldFirstRead(0)
 	}
 }
--- a/internal/ingress/observer.go
+++ b/internal/ingress/observer.go
@@ -70,6 +70,13 @@
 	o.count(code)
 }
 
+func (o *Observer) receiveFailed(err error) {
+	o.count(resultcode.PacketReceiveFailed)
+	if o.allowed() {
+		o.logger.Error("receive_failed", zap.Error(err))
+	}
+}
+
 func (o *Observer) count(code resultcode.Code) {
 	counter, found := o.byCode.Load(code)
 	if !found {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -42,6 +42,8 @@
 const (
 	// maxPacketBytes is above the longest packet of a caller.
 	maxPacketBytes = 4096
+	// receiveRetry is the pause after a failure to receive.
+	receiveRetry = 10 * time.Millisecond
 	// receiveBufferBytes holds packets while the process does not run: about a
 	// second of 2,000 packets of 1,200 bytes.
 	receiveBufferBytes = 4 << 20
@@ -110,7 +112,10 @@
 			return nil
 		}
 		if err != nil {
-			return fmt.Errorf("receive packets: %w", err)
+			// The socket is open, so the next packet may well be received.
+			s.observer.receiveFailed(err)
+			time.Sleep(receiveRetry)
+			continue
 		}
 		s.handle(buffer, buffer[envelope:envelope+n])
 	}
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -17,7 +17,6 @@
 	"golang.org/x/sys/unix"
 	tomb "gopkg.in/tomb.v2"
 
-	"burdockrelay.example/burdockrelay/internal/decision/freshness"
 	"burdockrelay.example/burdockrelay/internal/discovery"
 	"burdockrelay.example/burdockrelay/internal/ingress"
 	"burdockrelay.example/burdockrelay/internal/objectstore"
@@ -89,13 +88,12 @@
 	}
 	i := &Instance{settings: loaded, logger: logger}
 	ctx := i.tomb.Context(context.Background())
-	limits := freshness.SettingsFor(bound(loaded))
-	i.knowledge = discovery.NewKnowledge(loaded.DataCentre, limits.MaxAge, bootTime)
+	i.knowledge = discovery.NewKnowledge(loaded.DataCentre, loaded.FlowLifetime, bound(loaded), bootTime)
 	self := discovery.Peer{Name: loaded.Instance, Address: loaded.PeerListen}
 	peers := discovery.NewPeers(self, seedAddresses(loaded))
 	registry := observe.NewRegistry()
 	metrics := discovery.NewMetrics(registry, i.knowledge, peers)
-	i.syncer = discovery.NewSyncer(freshness.NewPlan(loaded.Instance, limits), i.knowledge, peers, adapter.Source, metrics, logger)
+	i.syncer = discovery.NewSyncer(loaded.Instance, bound(loaded), i.knowledge, peers, adapter.Source, metrics, logger)
 	checks := prober.New(ctx, adapter.Checker, i.knowledge, logger, registry)
 	observer := ingress.NewObserver(logger, registry, checks.Suspect)
 	var err error
@@ -108,7 +106,7 @@
 		return nil, err
 	}
 	i.run(func() error { return i.syncer.Run(ctx) })
-	directory := &discovery.Registry{Store: adapter.Store, Self: self, Logger: logger, Found: i.syncer.Hear}
+	directory := &discovery.Registry{Store: adapter.Store, Self: self, Logger: logger, Peers: peers, Found: i.syncer.Hear}
 	i.run(func() error { return directory.Run(ctx) })
 	i.run(i.startPackets)
 	return i, nil
@@ -144,7 +142,9 @@
 	}
 	metrics, err := net.Listen("tcp", i.settings.MetricsListen.String())
 	if err != nil {
-		return fmt.Errorf("listen for metrics: %w", err)
+		// Callers are served without metrics too.
+		i.logger.Error("metrics_unavailable", zap.Stringer("address", i.settings.MetricsListen), zap.Error(err))
+		return nil
 	}
 	i.serve(metrics, observe.MetricsHandler(registry))
 	return nil
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -25,6 +25,7 @@
 	PacketRelayed         Code = 1021
 	PacketSendFailed      Code = 1022
 	PacketForeignEndpoint Code = 1023
+	PacketReceiveFailed   Code = 1024
 )
 
 // Routing, ownership and fencing: 1100-1199.
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -32,6 +32,8 @@
 	ApplyDeadline time.Duration `yaml:"apply_deadline" min:"100ms"`
 	// DrainDeadline bounds the time until a draining endpoint gets no new flows.
 	DrainDeadline time.Duration `yaml:"drain_deadline" min:"100ms"`
+	// FlowLifetime is the longest time that a flow may last.
+	FlowLifetime time.Duration `yaml:"flow_lifetime" min:"1s"`
 	// StopDeadline bounds a graceful stop.
 	StopDeadline time.Duration `yaml:"stop_deadline" min:"0s"`
 	// MemoryMB is the memory that the process may use, 0 for no limit.
@@ -45,6 +47,7 @@
 	defaultApplyDeadline = 3 * time.Second
 	defaultDrainDeadline = 3 * time.Second
 	defaultStopDeadline  = 5 * time.Second
+	defaultFlowLifetime  = time.Minute
 	defaultRelayFlows    = 100_000
 )
 
@@ -53,6 +56,7 @@
 	r.ApplyDeadline = defaultApplyDeadline
 	r.DrainDeadline = defaultDrainDeadline
 	r.StopDeadline = defaultStopDeadline
+	r.FlowLifetime = defaultFlowLifetime
 	r.MaxFlows = defaultRelayFlows
 }
 
