Test the decisions of labelled flows, bound the backoff of reads by the interval

Property tests over a model of routers, instances, endpoints and callers, and over a model of instances that share knowledge while some freeze, restart or are cut off. Each fails with its mechanism off.

--- a/internal/decision/freshness/freshness.go
+++ b/internal/decision/freshness/freshness.go
@@ -77,7 +77,7 @@
 		FollowersPerReader: defaultFollowersPerReader,
 		PeerRest:           defaultPeerRest,
 		MaxPeerRest:        defaultMaxPeerRest,
-		MaxBackoff:         2 * interval,
+		MaxBackoff:         interval,
 		OutageAge:          max(minOutageAge, interval*5/4),
 	}
 }
@@ -92,9 +92,12 @@
 	known       bool
 	confirmedAt time.Duration
 
-	reading     bool
-	readBegan   time.Duration
+	reading   bool
+	readBegan time.Duration
+	// failures counts the reads that failed since the last confirmation;
+	// turnedAway is set when the last read failed.
 	failures    int
+	turnedAway  bool
 	nextRead    time.Duration
 	asking      string
 	askedAt     time.Duration
@@ -199,7 +202,7 @@
 
 func (p *Plan) passedOver(candidate *peer, now time.Duration) bool {
 	if candidate.name == p.self {
-		return p.failures > 0
+		return p.turnedAway
 	}
 	return candidate.restUntil > now
 }
@@ -255,12 +258,13 @@
 		return false
 	}
 	p.known, p.confirmedAt = true, at
+	p.failures = 0
 	return true
 }
 
 // ReadDone notes the end of a read of the store.
 func (p *Plan) ReadDone(now time.Duration, success bool) {
-	p.reading = false
+	p.reading, p.turnedAway = false, !success
 	if success {
 		p.failures = 0
 		p.nextRead = p.readBegan + p.settings.Interval
--- /dev/null
+++ b/internal/decision/freshness/freshness_test.go
@@ -0,0 +1,321 @@
+package freshness
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"burdockrelay.example/burdockrelay/internal/propertytest"
+)
+
+const (
+	bound = 3 * time.Second
+	// step is the resolution of the model.
+	step = 5 * time.Millisecond
+	// callTime is how long a call takes that is answered, readTimeout and
+	// askTimeout how long one that is not.
+	callTime    = 10 * time.Millisecond
+	readTimeout = 400 * time.Millisecond
+	askTimeout  = 300 * time.Millisecond
+)
+
+// node is one instance of the model.
+type node struct {
+	name string
+	plan *Plan
+	// frozenUntil stops the instance, cutUntil takes its path to the store,
+	// aloneUntil its paths to the others, silentUntil its open connection to the
+	// store.
+	frozenUntil, cutUntil, aloneUntil, silentUntil time.Duration
+	silencedAt                                     time.Duration
+	// troubledAt is the last time that the instance was disturbed.
+	troubledAt time.Duration
+
+	read, ask *call
+}
+
+// call is a read or a question under way.
+type call struct {
+	began, ends time.Duration
+	success     bool
+	peer        *node
+}
+
+// cluster is a model of instances that share knowledge of a store.
+type cluster struct {
+	random *rand.Rand
+	now    time.Duration
+	nodes  []*node
+	reads  int
+	asks   int
+}
+
+func newCluster(seed int64, count int, settings Settings) *cluster {
+	c := &cluster{random: rand.New(rand.NewSource(seed))}
+	var names []string
+	for i := range count {
+		names = append(names, fmt.Sprintf("entry-%d", i+1))
+	}
+	for _, name := range names {
+		n := &node{name: name, plan: NewPlan(name, settings)}
+		n.plan.SetPeers(names)
+		c.nodes = append(c.nodes, n)
+	}
+	return c
+}
+
+func (c *cluster) find(name string) *node {
+	for _, n := range c.nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// run advances the model. disturb is called at each step.
+func (c *cluster) run(length time.Duration, disturb func()) {
+	for end := c.now + length; c.now < end; c.now += step {
+		disturb()
+		for _, n := range c.nodes {
+			if c.now >= n.frozenUntil {
+				c.finish(n)
+				c.start(n)
+			}
+		}
+	}
+}
+
+func (c *cluster) start(n *node) {
+	next := n.plan.Next(c.now)
+	if next.Read {
+		c.reads++
+		n.read = &call{began: c.now, ends: c.now + callTime, success: true}
+		if c.now < n.cutUntil {
+			n.read.ends, n.read.success = c.now+readTimeout, false
+		}
+		if c.now < n.silentUntil {
+			// The time-out closes the silent connection.
+			n.read.ends, n.read.success = c.now+readTimeout, false
+			n.silentUntil = 0
+		}
+	}
+	if next.Ask == "" {
+		return
+	}
+	c.asks++
+	peer := c.find(next.Ask)
+	n.ask = &call{began: c.now, ends: c.now + callTime, success: true, peer: peer}
+	if c.now < max(n.aloneUntil, peer.aloneUntil, peer.frozenUntil) {
+		n.ask.ends, n.ask.success = c.now+askTimeout, false
+	}
+}
+
+func (c *cluster) finish(n *node) {
+	if n.read != nil && c.now >= n.read.ends {
+		read := n.read
+		n.read = nil
+		n.plan.ReadDone(c.now, read.success)
+		if read.success {
+			n.plan.Confirmed(read.began)
+		}
+	}
+	if n.ask == nil || c.now < n.ask.ends {
+		return
+	}
+	ask := n.ask
+	n.ask = nil
+	if !ask.success {
+		n.plan.AskDone(c.now, ask.peer.name, Silent, 0)
+		return
+	}
+	age, known := ask.peer.plan.Age(ask.began)
+	n.plan.AskDone(c.now, ask.peer.name, n.plan.Judge(known, age), age)
+	if known {
+		n.plan.Confirmed(ask.began - age)
+	}
+}
+
+// oldest returns the highest age among instances that were not disturbed for the
+// bound.
+func (c *cluster) oldest() (time.Duration, string) {
+	var most time.Duration
+	name := ""
+	for _, n := range c.nodes {
+		if c.now-n.troubledAt < bound {
+			continue
+		}
+		age, known := n.plan.Age(c.now)
+		if !known {
+			age = c.now
+		}
+		if age > most {
+			most, name = age, n.name
+		}
+	}
+	return most, name
+}
+
+// disturb begins a random trouble of one instance.
+func (c *cluster) disturb() {
+	n := c.nodes[c.random.Intn(len(c.nodes))]
+	length := time.Duration(c.random.Intn(8000)) * time.Millisecond
+	switch c.random.Intn(5) {
+	case 0:
+		n.frozenUntil = c.now + length
+	case 1:
+		n.cutUntil = c.now + length
+	case 2:
+		// Only the others: the instance still has its path to the store.
+		n.aloneUntil = c.now + length
+		return
+	case 3:
+		// Two in a row count as a disturbance of the instance.
+		if c.now-n.silencedAt < bound {
+			n.troubledAt = max(n.troubledAt, c.now)
+		}
+		n.silentUntil, n.silencedAt = c.now+length, c.now
+		return
+	default:
+		restarted := NewPlan(n.name, n.plan.settings)
+		var names []string
+		for _, other := range c.nodes {
+			names = append(names, other.name)
+		}
+		restarted.SetPeers(names)
+		n.plan, n.read, n.ask = restarted, nil, nil
+		length = 0
+	}
+	n.troubledAt = max(n.troubledAt, c.now+length)
+}
+
+// worstAge runs a cluster through random troubles and returns the highest age of an
+// instance that was not itself disturbed.
+func worstAge(seed int64, settings Settings) (worst time.Duration, where string) {
+	c := newCluster(seed, 3+int(seed%9), settings)
+	c.run(5*time.Second, func() {})
+	c.run(60*time.Second, func() {
+		if c.random.Intn(int(500*time.Millisecond/step)) == 0 {
+			c.disturb()
+		}
+		if age, name := c.oldest(); age > worst {
+			worst, where = age, fmt.Sprintf("%s at %v", name, c.now)
+		}
+	})
+	return worst, where
+}
+
+// Guards against an instance that goes on with old knowledge because the instance
+// it asks has died, is frozen, is cut off from the store or from the others, or
+// because its own connection to the store says nothing.
+func TestKnowledgeStaysFreshThroughTroubles(t *testing.T) {
+	seed := propertytest.Seed(t, propertytest.DefaultSeed)
+	for run := range 40 * propertytest.Factor(t) {
+		if age, where := worstAge(seed+int64(run), SettingsFor(bound)); age > bound {
+			t.Fatalf("run %d with %s=%d: knowledge of %s is %v old, the bound is %v",
+				run, propertytest.SeedVariable, seed, where, age, bound)
+		}
+	}
+	withoutFallback := SettingsFor(bound)
+	withoutFallback.MaxAge = time.Hour
+	exceeded := 0
+	for run := range 10 {
+		if age, _ := worstAge(seed+int64(run), withoutFallback); age > bound {
+			exceeded++
+		}
+	}
+	if exceeded == 0 {
+		t.Error("the bound holds without own reads: the test shows nothing")
+	}
+}
+
+// Guards against calls to the store that grow with the number of instances.
+func TestReadsDoNotGrowWithInstances(t *testing.T) {
+	for _, count := range []int{1, 5, 31, 100, 300} {
+		c := newCluster(1, count, SettingsFor(bound))
+		c.run(5*time.Second, func() {})
+		c.reads, c.asks = 0, 0
+		c.run(30*time.Second, func() {})
+		readers := 1 + (count-1)/defaultFollowersPerReader
+		perReader := float64(30*time.Second) / float64(SettingsFor(bound).Interval)
+		if most := 1.1 * perReader * float64(readers); float64(c.reads) > most {
+			t.Errorf("%d instances make %d reads in 30 s, want at most %.0f", count, c.reads, most)
+		}
+		t.Logf("%d instances: %.2f reads/s, %.2f questions/s an instance", count,
+			float64(c.reads)/30, float64(c.asks)/30/float64(count))
+	}
+}
+
+// Guards against a flood of reads when the reader fails in a large installation.
+func TestFewReadWhenTheReaderFails(t *testing.T) {
+	c := newCluster(1, 31, SettingsFor(bound))
+	c.run(5*time.Second, func() {})
+	reader := c.find(c.nodes[0].plan.order[0].name)
+	c.reads = 0
+	reader.frozenUntil, reader.troubledAt = c.now+10*time.Second, c.now+10*time.Second
+	var worst time.Duration
+	c.run(10*time.Second, func() {
+		age, _ := c.oldest()
+		worst = max(worst, age)
+	})
+	if c.reads > 31 {
+		t.Errorf("%d reads in 10 s without the first reader", c.reads)
+	}
+	if worst > bound {
+		t.Errorf("knowledge is %v old", worst)
+	}
+}
+
+// Guards against an instance that the store alone turns away and that asks nobody
+// because it is the first in the order.
+func TestReaderTurnedAwayAsksTheOthers(t *testing.T) {
+	c := newCluster(1, 5, SettingsFor(bound))
+	c.run(5*time.Second, func() {})
+	reader := c.find(c.nodes[0].plan.order[0].name)
+	reader.cutUntil = c.now + 20*time.Second
+	var worst time.Duration
+	c.run(20*time.Second, func() {
+		age, _ := reader.plan.Age(c.now)
+		worst = max(worst, age)
+	})
+	if worst > bound {
+		t.Errorf("its knowledge is %v old", worst)
+	}
+}
+
+// Guards against a first read that waits for seeds that do not answer, and one that
+// does not wait.
+func TestFirstReadWaitsForSeeds(t *testing.T) {
+	p := NewPlan("entry-1", SettingsFor(bound))
+	p.HoldFirstRead(30 * time.Millisecond)
+	if next := p.Next(0); next.Read || next.Wake != 30*time.Millisecond {
+		t.Errorf("first step: %+v", next)
+	}
+	if next := p.Next(30 * time.Millisecond); !next.Read {
+		t.Errorf("after the wait: %+v", next)
+	}
+}
+
+// Guards against a peer that does not answer and is asked all the time, and against
+// one that is not asked again although it is known to run.
+func TestSilentPeersRest(t *testing.T) {
+	settings := SettingsFor(bound)
+	// The last in the order asks the others.
+	order := newCluster(1, 3, settings).nodes[0].plan.order
+	p := NewPlan(order[2].name, settings)
+	p.SetPeers([]string{order[0].name, order[1].name})
+	p.Confirmed(0)
+	first := p.Next(0).Ask
+	if first != order[0].name {
+		t.Fatalf("%q is asked first, want %q", first, order[0].name)
+	}
+	p.AskDone(askTimeout, first, Silent, 0)
+	if again := p.Next(askTimeout).Ask; again == first {
+		t.Error("the silent peer is asked again at once")
+	}
+	p.Heard(first, askTimeout+step)
+	if rest := p.find(first).restUntil; rest != 0 {
+		t.Errorf("a peer that is heard of rests until %v", rest)
+	}
+}
--- /dev/null
+++ b/internal/decision/steering/steering_test.go
@@ -0,0 +1,282 @@
+package steering
+
+import (
+	"testing"
+	"time"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/decision/label"
+	"burdockrelay.example/burdockrelay/internal/decision/selection"
+	"burdockrelay.example/burdockrelay/internal/directory"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+)
+
+// settled is the freshness of an instance that is up to date.
+var settled = Freshness{Known: true, Settled: time.Minute}
+
+func packetTo(port uint16, source uint16) Packet {
+	p := Packet{
+		First: true, Sequence: 100,
+		Tuple: common.FiveTuple{
+			Source: [4]byte{100, 64, 0, 7}, Destination: [4]byte{198, 18, 0, 1},
+			SourcePort: source, DestinationPort: port, Protocol: common.ProtocolTCP,
+		},
+	}
+	p.Hash = p.Tuple.Hash()
+	return p
+}
+
+// small returns an instance with one endpoint of the desk and one rule without
+// endpoints.
+func small() *instance {
+	w := newWorld(1)
+	w.catalog = w.catalog[:1]
+	w.rules.Rules = append(w.rules.Rules, directory.Rule{
+		Address: serviceAddress(81), Targets: []directory.Target{{Service: "empty", Weight: 1}},
+		Timeout: 500 * time.Millisecond,
+	})
+	w.rules.Rules[0].Timeout = 500 * time.Millisecond
+	return w.newInstance()
+}
+
+// Guards against refusals from knowledge that is too old or incomplete, silence
+// where a refusal is due, and first packets forwarded for callers that have given
+// up.
+func TestNewFlows(t *testing.T) {
+	old := Freshness{Known: true, Age: 2 * time.Second, Settled: time.Minute}
+	returned := Freshness{Known: true, Settled: time.Second}
+	for _, c := range []struct {
+		name   string
+		port   uint16
+		copies uint8
+		fresh  Freshness
+		kind   Kind
+		code   resultcode.Code
+	}{
+		{"served", 443, 0, settled, Forward, resultcode.PacketForwarded},
+		{"served with old knowledge", 443, 0, old, Forward, resultcode.PacketForwarded},
+		{"a copy in time", 443, 1, settled, Forward, resultcode.PacketForwarded},
+		{"a copy of a caller that has given up", 443, 2, settled, Refuse, resultcode.RefusedTooLate},
+		{"unknown address", 999, 0, settled, Refuse, resultcode.PacketNoService},
+		{"unknown address, old knowledge", 999, 0, old, Drop, resultcode.PacketNoService},
+		{"nothing known", 999, 0, Freshness{}, Drop, resultcode.DroppedNoTables},
+		{"no endpoint", 81, 0, settled, Refuse, resultcode.RefusedNoEndpoint},
+		{"no endpoint after an outage", 81, 0, returned, Drop, resultcode.RefusedNoEndpoint},
+	} {
+		i := small()
+		p := packetTo(c.port, 1000)
+		p.Copies = c.copies
+		action := i.table.Handle(i.view, &p, c.fresh, time.Second)
+		if action.Kind != c.kind || action.Code != c.code {
+			t.Errorf("%s: kind %d code %d, want %d and %d", c.name, action.Kind, action.Code, c.kind, c.code)
+		}
+	}
+}
+
+// Guards against resets of flows whose endpoint this instance may only not know yet.
+func TestUnknownLabels(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fresh Freshness
+		reset bool
+		kind  Kind
+	}{
+		{"settled", settled, false, Refuse},
+		{"just started", Freshness{Known: true, Settled: 4 * time.Second}, false, Drop},
+		{"old knowledge", Freshness{Known: true, Age: 2 * time.Second, Settled: time.Minute}, false, Drop},
+		{"a reset is not answered", settled, true, Drop},
+	} {
+		i := small()
+		p := packetTo(443, 1000)
+		p.First, p.Reset, p.Label = false, c.reset, 0x1234
+		if action := i.table.Handle(i.view, &p, c.fresh, time.Second); action.Kind != c.kind {
+			t.Errorf("%s: kind %d, want %d", c.name, action.Kind, c.kind)
+		}
+	}
+}
+
+// Guards against a full table that refuses packets of open flows with the new ones.
+func TestFullTableRefusesNewFlowsOnly(t *testing.T) {
+	i := small()
+	i.table = NewTable(Shards)
+	var open []Packet
+	refused := 0
+	for source := uint16(1); source < 200; source++ {
+		p := packetTo(443, source)
+		action := i.table.Handle(i.view, &p, settled, time.Second)
+		if action.Kind == Refuse {
+			refused++
+			continue
+		}
+		p.First, p.Label = false, action.Label
+		open = append(open, p)
+	}
+	if refused == 0 || len(open) > Shards {
+		t.Fatalf("%d refused, %d open with room for %d", refused, len(open), Shards)
+	}
+	for _, p := range open {
+		if action := i.table.Handle(i.view, &p, settled, time.Second); action.Kind != Forward {
+			t.Errorf("packet of an open flow: kind %d code %d", action.Kind, action.Code)
+		}
+	}
+}
+
+// Guards against copies of a first packet that reach two endpoints while the first
+// one is alive, and against staying with one that is silent.
+func TestCopiesOfFirstPackets(t *testing.T) {
+	w := newWorld(1)
+	i := w.newInstance()
+	p := packetTo(443, 1000)
+	first := i.table.Handle(i.view, &p, settled, time.Second)
+	first.Member.Opened(time.Second+time.Millisecond, 0)
+	if again := i.table.Handle(i.view, &p, settled, 1200*time.Millisecond); again.Member != first.Member {
+		t.Error("a copy goes to another endpoint although the first one answers callers")
+	}
+	p = packetTo(443, 1001)
+	first = i.table.Handle(i.view, &p, settled, 2*time.Second)
+	again := i.table.Handle(i.view, &p, settled, 2200*time.Millisecond)
+	if again.Member == first.Member || again.Event != Repeated || again.Copies != 1 {
+		t.Errorf("a copy stays with a silent endpoint: %+v", again)
+	}
+	if len(again.Suspected) != 1 || again.Suspected[0] != first.Member {
+		t.Errorf("suspected: %v", again.Suspected)
+	}
+}
+
+// Guards against a reused address and port that is taken for the former flow.
+func TestNewSequenceIsANewFlow(t *testing.T) {
+	i := small()
+	p := packetTo(443, 1000)
+	first := i.table.Handle(i.view, &p, settled, time.Second)
+	if first.Event != Chosen {
+		t.Fatalf("event %v", first.Event)
+	}
+	p.Sequence = 101
+	if second := i.table.Handle(i.view, &p, settled, 2*time.Second); second.Event != Chosen {
+		t.Errorf("event %v for a new flow", second.Event)
+	}
+	if n := i.table.Len(); n != 1 {
+		t.Errorf("%d flows", n)
+	}
+}
+
+// Guards against load that is counted for ever for flows that go on through another
+// instance.
+func TestWaitingEndsWithTheTimeout(t *testing.T) {
+	i := small()
+	p := packetTo(443, 1000)
+	action := i.table.Handle(i.view, &p, settled, time.Second)
+	p.First, p.Label, p.Acknowledgement, p.Length = false, action.Label, 5, 100
+	i.table.Handle(i.view, &p, settled, time.Second)
+	waiting := func() int { return action.Member.Status(0).Waiting }
+	if waiting() != 1 {
+		t.Fatalf("%d requests wait", waiting())
+	}
+	for shard := range Shards {
+		if expired := i.table.Expire(shard, time.Minute, 1600*time.Millisecond, nil); len(expired) != 0 {
+			t.Errorf("expired: %+v", expired)
+		}
+	}
+	if waiting() != 0 {
+		t.Errorf("%d requests wait after the timeout", waiting())
+	}
+}
+
+// Guards against a flow without an answer that leaves no trace when it expires.
+func TestUnansweredFlowsExpire(t *testing.T) {
+	i := small()
+	p := packetTo(443, 1000)
+	i.table.Handle(i.view, &p, settled, time.Second)
+	var expired []Expired
+	for shard := range Shards {
+		expired = i.table.Expire(shard, time.Minute, 5*time.Second, expired)
+	}
+	if len(expired) != 1 || expired[0].Answered || expired[0].Sequence != 100 {
+		t.Errorf("expired: %+v", expired)
+	}
+	if i.table.Len() != 0 {
+		t.Errorf("%d flows left", i.table.Len())
+	}
+}
+
+// Guards against instances that pick different services for copies of a first
+// packet, and against shares that do not follow the weights.
+func TestWeightsShareNewFlows(t *testing.T) {
+	rules := &directory.Configuration{Version: 1, Rules: []directory.Rule{{
+		Address: serviceAddress(443),
+		Targets: []directory.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c"}},
+	}}}
+	pools := map[string]*selection.Pool{}
+	pool := func(service string) *selection.Pool {
+		if pools[service] == nil {
+			pools[service] = selection.NewPool(service, "")
+		}
+		return pools[service]
+	}
+	r := NewView(rules, nil, pool).routes[serviceAddress(443)]
+	counts := map[string]int{}
+	for source := range 10_000 {
+		p := packetTo(443, uint16(source))
+		counts[r.pick(p.Hash).Service()]++
+	}
+	if counts["b"] < 850 || counts["b"] > 1150 || counts["c"] != 0 {
+		t.Errorf("shares: %v", counts)
+	}
+}
+
+// Guards against labels in a view that resolve to an endpoint other than the one
+// that new flows with them go to.
+func TestViewLabelsResolve(t *testing.T) {
+	w := newWorld(1)
+	i := w.newInstance()
+	for m, l := range i.view.ownLabels {
+		if l == 0 || i.view.resolve(l) != m {
+			t.Errorf("label %x of %s", l, m.Endpoint().Name)
+		}
+	}
+	if i.view.resolve(label.Label(3)) != nil {
+		t.Error("a label of nobody resolves")
+	}
+}
+
+// BenchmarkEstablished measures a packet in the middle of a flow.
+func BenchmarkEstablished(b *testing.B) {
+	i := newWorld(1).newInstance()
+	packets := make([]Packet, 1024)
+	for n := range packets {
+		p := packetTo(443, uint16(n))
+		action := i.table.Handle(i.view, &p, settled, time.Second)
+		p.First, p.Label, p.Acknowledgement = false, action.Label, 5
+		packets[n] = p
+	}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		i.table.Handle(i.view, &packets[n%len(packets)], settled, time.Second)
+	}
+}
+
+// BenchmarkNewFlow measures the choice of an endpoint among 120.
+func BenchmarkNewFlow(b *testing.B) {
+	w := newWorld(1)
+	for range 114 {
+		w.addEndpoint("desk")
+	}
+	i := w.newInstance()
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		p := packetTo(443, uint16(n%60_000))
+		p.Sequence = uint32(n)
+		i.table.Handle(i.view, &p, settled, time.Second)
+	}
+}
+
+// Guards against allocations in the packet path of established flows.
+func TestEstablishedPacketsDoNotAllocate(t *testing.T) {
+	i := small()
+	p := packetTo(443, 1000)
+	action := i.table.Handle(i.view, &p, settled, time.Second)
+	p.First, p.Label, p.Acknowledgement = false, action.Label, 5
+	if n := testing.AllocsPerRun(100, func() { i.table.Handle(i.view, &p, settled, time.Second) }); n != 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
--- a/internal/decision/steering/view.go
+++ b/internal/decision/steering/view.go
@@ -1,7 +1,7 @@
 package steering
 
 import (
-	"math"
+	"math/bits"
 	"time"
 
 	"burdockrelay.example/burdockrelay/common"
@@ -88,8 +88,8 @@
 	if r.weights == 0 {
 		return nil
 	}
-	// The high bits of the hash scaled to the sum of the weights.
-	point := uint64(float64(uint64(hash)>>1) / float64(math.MaxInt64) * float64(r.weights))
+	// The hash scaled to the sum of the weights.
+	point, _ := bits.Mul64(uint64(hash), r.weights)
 	for i, target := range r.rule.Targets {
 		if point < uint64(target.Weight) {
 			return r.pools[i]
