--- a/internal/decision/freshness/freshness.go
+++ b/internal/decision/freshness/freshness.go
@@ -32,6 +32,8 @@
 	PeerRest, MaxPeerRest time.Duration
 	// MaxBackoff bounds the time between reads that fail.
 	MaxBackoff time.Duration
+	// GossipInterval is the time between questions to other peers than the reader.
+	GossipInterval time.Duration
 	// OutageAge is the age at which the next confirmation counts as the store's
 	// return from an outage.
 	OutageAge time.Duration
@@ -62,6 +64,8 @@
 	firstRetryPart = 8
 	// maxDoublings bounds the growth of the time between failing reads.
 	maxDoublings = 8
+	// gossipIntervals is the time between questions to other peers in intervals.
+	gossipIntervals = 4
 	// stagger spreads the instances over a quarter of an interval when all start
 	// to read by themselves, so that the first ones can tell the others.
 	stagger = 4
@@ -78,6 +82,7 @@
 		PeerRest:           defaultPeerRest,
 		MaxPeerRest:        defaultMaxPeerRest,
 		MaxBackoff:         interval,
+		GossipInterval:     gossipIntervals * interval,
 		OutageAge:          max(minOutageAge, interval*5/4),
 	}
 }
@@ -102,6 +107,9 @@
 	asking      string
 	askedAt     time.Duration
 	nextAsk     time.Duration
+	nextGossip  time.Duration
+	gossiped    int
+	gossiping   bool
 	neverTried  bool
 	firstRead   time.Duration
 	staggerPart time.Duration
@@ -120,6 +128,7 @@
 // NewPlan returns the plan of an instance that knows nothing.
 func NewPlan(self string, settings Settings) *Plan {
 	p := &Plan{settings: settings, self: self, neverTried: true}
+	p.gossiped = int(xxhash.Sum64String(self) >> 33)
 	p.staggerPart = settings.Interval / stagger * time.Duration(xxhash.Sum64String(self)%stagger) / stagger
 	p.SetPeers(nil)
 	return p
@@ -168,13 +177,37 @@
 func (p *Plan) Next(now time.Duration) Step {
 	step := Step{Wake: now + p.settings.Interval}
 	reader := p.reader(now)
-	if reader != p.self {
+	if p.nextGossip == 0 {
+		p.nextGossip = now + p.settings.GossipInterval
+	}
+	switch {
+	case now >= p.nextGossip && len(p.order) > 1:
+		p.planGossip(&step, now)
+	case reader != p.self:
 		p.planAsk(&step, reader, now)
 	}
 	p.planRead(&step, reader == p.self, now)
 	return step
 }
 
+// planGossip asks another instance in turn, so that groups of instances that do not
+// know of each other, each with a reader of its own, become one.
+func (p *Plan) planGossip(step *Step, now time.Duration) {
+	if p.asking != "" {
+		return
+	}
+	p.nextGossip = now + p.settings.GossipInterval
+	for range p.order {
+		p.gossiped = (p.gossiped + 1) % len(p.order)
+		candidate := p.order[p.gossiped]
+		if candidate.name != p.self && candidate.restUntil <= now {
+			p.asking, p.askedAt, p.gossiping = candidate.name, now, true
+			step.Ask = candidate.name
+			return
+		}
+	}
+}
+
 // readers is the number of instances that read the store when all is well.
 func (p *Plan) readers() int {
 	return 1 + (len(p.order)-1)/max(p.settings.FollowersPerReader, 1)
@@ -251,6 +284,11 @@
 // that peers can tell it what they know.
 func (p *Plan) HoldFirstRead(until time.Duration) { p.firstRead = until }
 
+// Reads reports whether the instance reads the store itself and with success.
+func (p *Plan) Reads(now time.Duration) bool {
+	return p.known && !p.turnedAway && now-p.readBegan < p.settings.MaxAge
+}
+
 // Confirmed notes that what is known was current at a time, and reports whether
 // that is news.
 func (p *Plan) Confirmed(at time.Duration) bool {
@@ -282,7 +320,8 @@
 // Answer is how a peer answered a question.
 type Answer uint8
 
-// Answers. A stale peer knows nothing, or nothing newer than the limit of the age.
+// Answers. A stale peer does not read the store itself, or knows nothing newer than
+// the limit of the age: two instances that only ask each other would both age.
 const (
 	Fresh Answer = iota
 	Stale
@@ -290,8 +329,8 @@
 )
 
 // Judge returns what an answer with knowledge of an age is worth.
-func (p *Plan) Judge(known bool, age time.Duration) Answer {
-	if known && age < p.settings.MaxAge {
+func (p *Plan) Judge(reads bool, age time.Duration) Answer {
+	if reads && age < p.settings.MaxAge {
 		return Fresh
 	}
 	return Stale
@@ -302,8 +341,10 @@
 // reader's next read.
 func (p *Plan) AskDone(now time.Duration, name string, answer Answer, age time.Duration) {
 	p.asking = ""
+	gossip := p.gossiping
+	p.gossiping = false
 	asked := p.find(name)
-	if asked == nil {
+	if asked == nil || gossip && answer == Stale {
 		return
 	}
 	switch answer {
@@ -314,7 +355,7 @@
 		return
 	case Stale:
 		asked.failures = 0
-		asked.restUntil = now + p.settings.PeerRest
+		asked.restUntil = now + p.settings.Interval
 	case Silent:
 		asked.restUntil = now + min(p.settings.PeerRest<<min(asked.failures, maxDoublings), p.settings.MaxPeerRest)
 		asked.failures++
--- a/internal/decision/freshness/freshness_test.go
+++ b/internal/decision/freshness/freshness_test.go
@@ -131,7 +131,7 @@
 		return
 	}
 	age, known := ask.peer.plan.Age(ask.began)
-	n.plan.AskDone(c.now, ask.peer.name, n.plan.Judge(known, age), age)
+	n.plan.AskDone(c.now, ask.peer.name, n.plan.Judge(ask.peer.plan.Reads(ask.began), age), age)
 	if known {
 		n.plan.Confirmed(ask.began - age)
 	}
--- a/internal/decision/selection/selection.go
+++ b/internal/decision/selection/selection.go
@@ -154,6 +154,19 @@
 	m.endpoint = endpoint
 }
 
+// Available returns the number of endpoints that take new flows.
+func (p *Pool) Available() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	available := 0
+	for _, m := range p.members {
+		if !m.endpoint.Draining {
+			available++
+		}
+	}
+	return available
+}
+
 // Choose returns the endpoint for a new flow and counts the flow as a waiting
 // request, or returns nil when no endpoint takes new flows. The endpoint avoid is
 // left out while there is another one. silent are the endpoints that have become
--- a/internal/discovery/knowledge.go
+++ b/internal/discovery/knowledge.go
@@ -29,6 +29,7 @@
 type Knowledge struct {
 	dataCentre string
 	clock      func() time.Duration
+	startedAt  time.Duration
 	// flowLife is how long an endpoint that is no longer listed is remembered for
 	// the flows that name it.
 	flowLife time.Duration
@@ -44,8 +45,9 @@
 
 	current     atomic.Pointer[steering.View]
 	confirmedAt atomic.Int64
-	returnedAt  atomic.Int64
-	ready       chan struct{}
+	// returnedAt is when the store last came back from an outage, 0 for never.
+	returnedAt atomic.Int64
+	ready      chan struct{}
 }
 
 // NewKnowledge returns the empty knowledge of an instance in a data centre, where
@@ -63,7 +65,7 @@
 		former:     make(map[string]*selection.Member),
 		ready:      make(chan struct{}),
 	}
-	k.returnedAt.Store(int64(clock()))
+	k.startedAt = clock()
 	k.current.Store(steering.NewView(nil, nil, k.pool))
 	return k
 }
@@ -77,7 +79,7 @@
 	return view, steering.Freshness{
 		Known:   view.Version() != 0,
 		Age:     now - time.Duration(k.confirmedAt.Load()),
-		Settled: now - time.Duration(k.returnedAt.Load()),
+		Settled: now - max(k.startedAt, time.Duration(k.returnedAt.Load())),
 	}
 }
 
@@ -103,6 +105,13 @@
 	return ""
 }
 
+// Available returns the number of endpoints of a service that take new flows.
+func (k *Knowledge) Available(service string) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.pool(service).Available()
+}
+
 // At returns the revision of the store that the knowledge is complete at, and the
 // revision of the configuration.
 func (k *Knowledge) At() (at, configuration uint64) {
@@ -176,8 +185,9 @@
 // grace after its return. It returns when to call it next, 0 for never.
 func (k *Knowledge) Settle() time.Duration {
 	now := k.clock()
-	end := time.Duration(k.returnedAt.Load()) + returnGrace
-	if now < end {
+	returnedAt := time.Duration(k.returnedAt.Load())
+	end := returnedAt + returnGrace
+	if returnedAt > 0 && now < end {
 		return end
 	}
 	k.mu.Lock()
@@ -195,7 +205,7 @@
 // outage that the store has just come back from.
 func (k *Knowledge) excused(known *directory.Known, now time.Duration) bool {
 	returnedAt := time.Duration(k.returnedAt.Load())
-	return now < returnedAt+returnGrace && known.MissingSince >= returnedAt-returnSlack
+	return returnedAt > 0 && now < returnedAt+returnGrace && known.MissingSince >= returnedAt-returnSlack
 }
 
 // publish builds the view from the catalog. The caller holds mu.
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -20,6 +20,8 @@
 type Service struct {
 	Knowledge *Knowledge
 	Peers     *Peers
+	// Reads reports whether this instance reads the store itself.
+	Reads func() bool
 	// Hear is told of the instances that ask.
 	Hear func(ctx context.Context, peers ...*syncpb.Peer)
 
@@ -44,13 +46,16 @@
 	}
 	response := &syncpb.FetchResponse{
 		Known:             s.Knowledge.Known(),
+		Reads:             s.Reads(),
 		AgeUs:             uint64(max(now-confirmedAt, 0).Microseconds()),
-		ReturnedUs:        uint64(max(now-returnedAt, 0).Microseconds()),
 		Configuration:     configuration,
 		EndpointsRevision: update.At,
 		SinceRevision:     update.Since,
 		Full:              update.Full,
 	}
+	if returnedAt > 0 {
+		response.ReturnedUs = uint64(max(now-returnedAt, 1).Microseconds())
+	}
 	for i := range update.Endpoints {
 		response.Endpoints = append(response.Endpoints, knownToWire(&update.Endpoints[i], now))
 	}
--- a/internal/discovery/syncer.go
+++ b/internal/discovery/syncer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -63,6 +64,8 @@
 	// fullUntil is when changes are read again instead of everything.
 	fullUntil time.Duration
 	storeUp   bool
+	// reads tells the peers whether this instance reads the store.
+	reads atomic.Bool
 	// seedsAsked counts the seeds that have not answered yet.
 	seedsAsked int
 }
@@ -90,6 +93,7 @@
 			s.askSeeds(ctx)
 		}
 		step := s.plan.Next(now)
+		s.reads.Store(s.plan.Reads(now))
 		s.start(ctx, step)
 		wake := step.Wake
 		if settle := s.knowledge.Settle(); settle != 0 {
@@ -231,7 +235,7 @@
 	}
 	s.hear(answer.Peers, now)
 	age := time.Duration(answer.AgeUs) * time.Microsecond
-	s.plan.AskDone(now, name, s.plan.Judge(answer.Known, age), age)
+	s.plan.AskDone(now, name, s.plan.Judge(answer.Reads, age), age)
 	if !answer.Known {
 		return
 	}
@@ -291,6 +295,9 @@
 	s.post(ctx, func() { s.hear(peers, s.knowledge.Now()) })
 }
 
+// Reads reports whether the instance reads the store itself and with success.
+func (s *Syncer) Reads() bool { return s.reads.Load() }
+
 // SetBound changes the bound between a change in the store and its effect.
 func (s *Syncer) SetBound(ctx context.Context, bound time.Duration) {
 	s.post(ctx, func() { s.plan.SetSettings(freshness.SettingsFor(bound)) })
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -135,7 +135,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	service := &discovery.Service{Knowledge: i.knowledge, Peers: peers, Hear: i.syncer.Hear}
+	service := &discovery.Service{Knowledge: i.knowledge, Peers: peers, Reads: i.syncer.Reads, Hear: i.syncer.Hear}
 	i.run(func() error { return service.Serve(ctx, peerListener) })
 	if !i.settings.MetricsListen.IsValid() {
 		return nil
--- /dev/null
+++ b/standins/estate/discovery_test.go
@@ -0,0 +1,277 @@
+package estate_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"burdockrelay.example/burdockrelay/internal/discovery"
+	"burdockrelay.example/burdockrelay/platform"
+	"burdockrelay.example/burdockrelay/standins/estate"
+)
+
+// bound is the time in which a change must be known. It is short to keep the tests
+// short.
+const bound = time.Second
+
+// node is one instance's knowledge, with its own door to the store.
+type node struct {
+	t         *testing.T
+	name      string
+	door      *estate.Door
+	knowledge *discovery.Knowledge
+	peers     *discovery.Peers
+	address   netip.AddrPort
+	stop      func()
+}
+
+// startNode starts an instance that knows other instances by their addresses.
+func startNode(t *testing.T, store *estate.Store, name string, seeds ...*node) *node {
+	t.Helper()
+	door, err := store.OpenDoor("127.0.0.1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &node{t: t, name: name, door: door, address: netip.MustParseAddrPort(listener.Addr().String())}
+	started := time.Now()
+	n.knowledge = discovery.NewKnowledge("fukuoka", time.Minute, bound, func() time.Duration { return time.Since(started) })
+	var addresses []netip.AddrPort
+	for _, seed := range seeds {
+		addresses = append(addresses, seed.address)
+	}
+	self := discovery.Peer{Name: name, Address: n.address}
+	n.peers = discovery.NewPeers(self, addresses)
+	client := platform.NewStore(netip.MustParseAddrPort(door.Address()))
+	source := &platform.Source{Store: client, Logger: zap.NewNop()}
+	metrics := discovery.NewMetrics(prometheus.NewRegistry(), n.knowledge, n.peers)
+	syncer := discovery.NewSyncer(name, bound, n.knowledge, n.peers, source, metrics, zap.NewNop())
+	service := &discovery.Service{Knowledge: n.knowledge, Peers: n.peers, Reads: syncer.Reads, Hear: syncer.Hear}
+	registry := &discovery.Registry{Store: client, Self: self, Peers: n.peers, Logger: zap.NewNop(), Found: syncer.Hear}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{}, 3)
+	for _, run := range []func() error{
+		func() error { return syncer.Run(ctx) },
+		func() error { return service.Serve(ctx, listener) },
+		func() error { return registry.Run(ctx) },
+	} {
+		go func() {
+			if err := run(); err != nil && ctx.Err() == nil {
+				t.Errorf("%s: %v", name, err)
+			}
+			done <- struct{}{}
+		}()
+	}
+	n.stop = func() {
+		cancel()
+		for range 3 {
+			<-done
+		}
+		_ = door.Close()
+	}
+	t.Cleanup(func() {
+		if n.stop != nil {
+			n.stop()
+		}
+	})
+	return n
+}
+
+// version returns the version of the configuration that the instance has in force.
+func (n *node) version() uint64 {
+	view, _ := n.knowledge.Current(n.knowledge.Now())
+	return view.Version()
+}
+
+// within waits for a condition.
+func within(t *testing.T, limit time.Duration, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Errorf("not within %v: %s", limit, what)
+}
+
+// publish writes a configuration with one rule.
+func publish(store *estate.Store, version int) {
+	store.Put("config", "main", fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r","host":"198.18.0.1","path_prefix":"/443/","service":"desk"}],"services":[{"name":"desk","health_path":"/health","max_conns":2000}],"limits":{"idle_timeout_ms":15000}}`, version))
+}
+
+func register(store *estate.Store, id int, state string) {
+	store.Put("servers", fmt.Sprintf("i-%x", id), fmt.Appendf(nil, `{"service":"desk","address":"127.0.2.%d:8080","zone":"fukuoka","version":"v1","max_concurrency":2,"state":%q,"warmup_left_ms":0,"sequence":1,"born":%d}`, id, state, id))
+}
+
+// endpoints returns the endpoints that new flows may go to.
+func (n *node) endpoints() int {
+	return n.knowledge.Available("desk")
+}
+
+func estateWith(endpoints int) *estate.Store {
+	store := estate.NewStore()
+	publish(store, 1)
+	for id := range endpoints {
+		register(store, id+1, "ready")
+	}
+	return store
+}
+
+// Guards against a change that is only learned from watches, while these hear
+// nothing and the history is dropped afterwards.
+func TestChangesAreKnownWhileWatchesHearNothing(t *testing.T) {
+	store := estateWith(3)
+	n := startNode(t, store, "entry-1")
+	within(t, bound, "first configuration", func() bool { return n.version() == 1 && n.endpoints() == 3 })
+	store.Mute(true)
+	publish(store, 2)
+	register(store, 1, "draining")
+	within(t, bound, "configuration and drain behind mute watches", func() bool { return n.version() == 2 && n.endpoints() == 2 })
+	publish(store, 3)
+	store.Forget()
+	store.Mute(false)
+	within(t, bound, "configuration behind a lost history", func() bool { return n.version() == 3 })
+}
+
+// Guards against an instance that the store turns away, in any manner, and that does
+// not learn from the others.
+func TestInstanceTurnedAwayLearnsFromPeers(t *testing.T) {
+	for _, mode := range []estate.Mode{estate.Busy, estate.Many, estate.Reset, estate.Silent} {
+		t.Run(string(mode), func(t *testing.T) {
+			store := estateWith(2)
+			// Whichever is first in the order of readers, one case has it turned away.
+			first := startNode(t, store, "entry-1")
+			second := startNode(t, store, "entry-2", first)
+			for version, away := range []*node{first, second} {
+				within(t, 2*bound, "start", func() bool { return first.endpoints() == 2 && second.endpoints() == 2 })
+				away.door.Set(estate.Faults{Mode: mode})
+				time.Sleep(2 * bound)
+				publish(store, version+2)
+				within(t, bound, "configuration at "+away.name, func() bool { return away.version() == uint64(version+2) })
+				away.door.Set(estate.Faults{})
+			}
+		})
+	}
+}
+
+// Guards against a connection to the store that has gone silent and is waited for.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	store := estateWith(2)
+	n := startNode(t, store, "entry-1")
+	within(t, bound, "start", func() bool { return n.version() == 1 })
+	n.door.Set(estate.Faults{Mode: estate.Silent})
+	time.Sleep(bound / 2)
+	n.door.Set(estate.Faults{})
+	publish(store, 2)
+	within(t, bound, "configuration", func() bool { return n.version() == 2 })
+}
+
+// Guards against a slow store that is given up at each call.
+func TestSlowStoreIsWaitedFor(t *testing.T) {
+	store := estateWith(2)
+	n := startNode(t, store, "entry-1")
+	within(t, bound, "start", func() bool { return n.version() == 1 })
+	n.door.Set(estate.Faults{Delay: 600 * time.Millisecond})
+	publish(store, 2)
+	within(t, 6*time.Second, "configuration from the slow store", func() bool { return n.version() == 2 })
+}
+
+// Guards against an instance without routes and endpoints because it starts while
+// the store is away, and against an older configuration after its return.
+func TestStartWhileTheStoreIsAway(t *testing.T) {
+	store := estateWith(2)
+	old := startNode(t, store, "entry-1")
+	within(t, bound, "start", func() bool { return old.endpoints() == 2 })
+	fresh := startNode(t, store, "entry-2", old)
+	fresh.door.Set(estate.Faults{Mode: estate.Reset})
+	old.door.Set(estate.Faults{Mode: estate.Reset})
+	within(t, bound, "knowledge from the peer", func() bool { return fresh.version() == 1 && fresh.endpoints() == 2 })
+	publish(store, 5)
+	old.door.Set(estate.Faults{})
+	within(t, 2*bound, "newer configuration", func() bool { return fresh.version() == 5 })
+}
+
+// Guards against endpoints that are given up when an outage of the store has let
+// their entries expire, and against ones that are kept although they do not return.
+func TestEntriesThatExpireInAnOutage(t *testing.T) {
+	store := estateWith(3)
+	n := startNode(t, store, "entry-1")
+	within(t, bound, "start", func() bool { return n.endpoints() == 3 })
+	n.door.Set(estate.Faults{Mode: estate.Silent})
+	time.Sleep(2 * time.Second)
+	for id := range 3 {
+		store.Remove("servers", fmt.Sprintf("i-%x", id+1))
+	}
+	n.door.Set(estate.Faults{})
+	within(t, 2*bound, "return of the store", func() bool { at, _ := n.knowledge.At(); return at == store.Revision() })
+	if got := n.endpoints(); got != 3 {
+		t.Errorf("%d endpoints after the return, want 3", got)
+	}
+	register(store, 1, "ready")
+	within(t, 4*time.Second, "the two that did not return are gone", func() bool { return n.endpoints() == 1 })
+}
+
+// Guards against an endpoint that leaves while all is well and is kept as if there
+// had been an outage.
+func TestEntryThatIsRemovedIsGoneAtOnce(t *testing.T) {
+	store := estateWith(3)
+	n := startNode(t, store, "entry-1")
+	within(t, bound, "start", func() bool { return n.endpoints() == 3 })
+	time.Sleep(bound)
+	store.Remove("servers", "i-1")
+	within(t, bound, "departure", func() bool { return n.endpoints() == 2 })
+}
+
+// Guards against instances that do not find each other when the answer to their
+// registration is lost and it is done later.
+func TestRegistrationWithLostAnswer(t *testing.T) {
+	store := estateWith(1)
+	first := startNode(t, store, "entry-1")
+	first.door.Set(estate.Faults{LoseWrites: true, LateBy: 300 * time.Millisecond})
+	within(t, 5*time.Second, "late registration", func() bool { return len(store.Names("burdock-instances")) == 1 })
+	first.door.Set(estate.Faults{})
+	second := startNode(t, store, "entry-2")
+	within(t, 8*time.Second, "first instance known", func() bool { return second.peers.Count() == 1 })
+	within(t, 8*time.Second, "second instance known", func() bool { return first.peers.Count() == 1 })
+}
+
+// Guards against an entry of another writer that takes the others with it.
+func TestForeignEntriesAreLeftOut(t *testing.T) {
+	store := estateWith(3)
+	store.Put("servers", "i-99", []byte(`{"service":7}`))
+	store.Put("servers", "note", []byte(`"text"`))
+	n := startNode(t, store, "entry-1")
+	within(t, bound, "start", func() bool { return n.endpoints() == 3 })
+	store.Put("servers", "i-1", []byte(`{"service":"desk"}`))
+	within(t, bound, "an entry that has become unreadable", func() bool { return n.endpoints() == 2 })
+	register(store, 1, "ready")
+	within(t, bound, "and readable again", func() bool { return n.endpoints() == 3 })
+}
+
+// Guards against calls to the store that grow with the instances.
+func TestFollowersDoNotReadTheStore(t *testing.T) {
+	store := estateWith(3)
+	nodes := []*node{startNode(t, store, "entry-1")}
+	for i := range 5 {
+		nodes = append(nodes, startNode(t, store, fmt.Sprintf("entry-%d", i+2), nodes[0]))
+	}
+	for _, n := range nodes {
+		within(t, 4*bound, "start", func() bool { return n.endpoints() == 3 && n.peers.Count() == 5 })
+	}
+	time.Sleep(2 * bound)
+	before := store.Calls()
+	time.Sleep(4 * bound)
+	// One reader makes four calls in the bound.
+	if calls := store.Calls() - before; calls > 24 {
+		t.Errorf("%d calls of six instances in %v", calls, 4*bound)
+	}
+}
--- /dev/null
+++ b/standins/estate/store.go
@@ -0,0 +1,177 @@
+package estate
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+)
+
+// meta is the part of an object that the store keeps.
+type meta struct {
+	Name       string   `json:"name"`
+	Revision   uint64   `json:"revision"`
+	Created    uint64   `json:"created"`
+	Finalizers []string `json:"finalizers"`
+	Deleting   bool     `json:"deleting"`
+}
+
+// object is one stored object.
+type object struct {
+	Meta   meta            `json:"meta"`
+	Spec   json.RawMessage `json:"spec"`
+	Status json.RawMessage `json:"status"`
+}
+
+// change is one event of a kind.
+type change struct {
+	Deleted bool   `json:"deleted"`
+	Object  object `json:"object"`
+}
+
+// Store holds objects by kind and name under one revision counter.
+type Store struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]map[string]object
+	history  map[string][]change
+	// forgotten is the revision up to which the history is gone.
+	forgotten uint64
+	// mute stops the watches from hearing of changes.
+	mute bool
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+	calls   int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		revision: 1,
+		objects:  make(map[string]map[string]object),
+		history:  make(map[string][]change),
+		changed:  make(chan struct{}),
+	}
+}
+
+// Put writes an object whatever its revision, and returns its new revision. A
+// content that changes nothing keeps the revision.
+func (s *Store) Put(kind, name string, spec json.RawMessage) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	present, exists := s.objects[kind][name]
+	if exists && string(present.Spec) == string(spec) {
+		return present.Meta.Revision
+	}
+	created := present.Meta.Created
+	if !exists {
+		created = s.revision + 1
+	}
+	stored := object{Meta: meta{Name: name, Created: created, Finalizers: []string{}}, Spec: spec, Status: json.RawMessage("null")}
+	s.record(kind, stored, false)
+	return s.revision
+}
+
+// Remove deletes an object.
+func (s *Store) Remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(kind, name)
+}
+
+func (s *Store) remove(kind, name string) {
+	if present, exists := s.objects[kind][name]; exists {
+		s.record(kind, present, true)
+	}
+}
+
+func (s *Store) record(kind string, o object, deleted bool) {
+	s.revision++
+	o.Meta.Revision = s.revision
+	if s.objects[kind] == nil {
+		s.objects[kind] = make(map[string]object)
+	}
+	if deleted {
+		delete(s.objects[kind], o.Meta.Name)
+	} else {
+		s.objects[kind][o.Meta.Name] = o
+	}
+	s.history[kind] = append(s.history[kind], change{Deleted: deleted, Object: o})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Forget drops the history: watches from before get status 410.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten = s.revision
+	clear(s.history)
+}
+
+// Mute sets whether watches hear of no changes.
+func (s *Store) Mute(mute bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mute = mute
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Revision returns the present revision.
+func (s *Store) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+// Names returns the names of the objects of a kind.
+func (s *Store) Names(kind string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.objects[kind]))
+}
+
+// pageSize is the number of objects in one answer to a list.
+const pageSize = 50
+
+// list returns the objects of a kind behind a name.
+func (s *Store) list(kind, after string) (items []object, more bool, revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	items = []object{}
+	for _, name := range slices.Sorted(maps.Keys(s.objects[kind])) {
+		if name <= after {
+			continue
+		}
+		if len(items) == pageSize {
+			return items, true, s.revision
+		}
+		items = append(items, s.objects[kind][name])
+	}
+	return items, false, s.revision
+}
+
+// events returns the changes of a kind after a revision, whether the history still
+// has them, and a channel that is closed at the next change.
+func (s *Store) events(kind string, after uint64) (events []change, revision uint64, kept, mute bool, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after < s.forgotten {
+		return nil, s.revision, false, s.mute, s.changed
+	}
+	events = []change{}
+	for _, c := range s.history[kind] {
+		if c.Object.Meta.Revision > after {
+			events = append(events, c)
+		}
+	}
+	return events, s.revision, true, s.mute, s.changed
+}
