Let reads of the store overlap instead of waiting longer for each

A read now lets the next one begin after 400 ms, on another connection, and still counts when a slow store answers it within 2.5 s.

--- a/internal/discovery/syncer.go
+++ b/internal/discovery/syncer.go
@@ -28,13 +28,18 @@
 }
 
 const (
-	// readTimeout bounds one read of the store that works; a slow store gets up to
-	// maxReadTimeout.
-	readTimeout    = 400 * time.Millisecond
-	maxReadTimeout = 3200 * time.Millisecond
-	// changesPart is the part of a read's time that a read of changes may take: it
-	// waits without end while the store forgets its history.
-	changesPart = 2
+	// readPatience is the time without an answer after which another read may
+	// begin, on another connection: packets of the first one may be lost for good.
+	// The first one goes on until readTimeout, because the store may be slow.
+	readPatience = 400 * time.Millisecond
+	readTimeout  = 2500 * time.Millisecond
+	// maxReads bounds the reads under way.
+	maxReads = 4
+	// changesTimes is how many times as long as the read before it a read of
+	// changes may take, at least minChangesTime: it waits without end while the
+	// store forgets its history.
+	changesTimes   = 4
+	minChangesTime = 200 * time.Millisecond
 	// seedInterval is the time between questions to the seeds while no peer is
 	// known.
 	seedInterval = time.Second
@@ -59,8 +64,9 @@
 	metrics   *Metrics
 	logger    *zap.Logger
 
-	events  chan func()
-	timeout time.Duration
+	events chan func()
+	// reading counts the reads under way.
+	reading int
 	// fullUntil is when changes are read again instead of everything.
 	fullUntil time.Duration
 	storeUp   bool
@@ -77,7 +83,7 @@
 		plan:      freshness.NewPlan(self, freshness.SettingsFor(bound)),
 		knowledge: knowledge, peers: peers, source: source, client: newPeerClient(bound / askPart),
 		metrics: metrics, logger: logger,
-		events: make(chan func(), 64), timeout: readTimeout, storeUp: true,
+		events: make(chan func(), 64), storeUp: true,
 	}
 }
 
@@ -120,7 +126,7 @@
 
 func (s *Syncer) start(ctx context.Context, step freshness.Step) {
 	if step.Read {
-		go s.read(ctx, s.timeout, s.knowledge.Now() < s.fullUntil)
+		s.startRead(ctx)
 	}
 	if step.Ask == "" {
 		return
@@ -133,32 +139,68 @@
 	go s.ask(ctx, step.Ask, address)
 }
 
-// read reads the store once.
-func (s *Syncer) read(ctx context.Context, timeout time.Duration, full bool) {
-	began := s.knowledge.Now()
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	update, incomplete, err := s.fetch(callCtx, timeout/changesPart, full)
-	s.post(ctx, func() {
-		now := s.knowledge.Now()
-		if incomplete {
-			s.fullUntil = now + fullReadsAfterMiss
-		}
+// startRead begins a read of the store. When it does not end in readPatience it
+// counts as failed, and as done after all if it succeeds later.
+func (s *Syncer) startRead(ctx context.Context) {
+	now := s.knowledge.Now()
+	if s.reading >= maxReads {
+		s.plan.ReadDone(now, false)
+		return
+	}
+	s.reading++
+	ended := false
+	full := now < s.fullUntil
+	go func() {
+		update, incomplete, err := s.read(ctx, full)
+		s.post(ctx, func() {
+			ended = true
+			s.readEnded(update, incomplete, err, now)
+		})
+	}()
+	time.AfterFunc(readPatience, func() {
+		s.post(ctx, func() {
+			if !ended {
+				s.plan.ReadDone(s.knowledge.Now(), false)
+				s.noteStore(errSlow, readPatience)
+			}
+		})
+	})
+}
+
+// errSlow is the state of a read that has not ended in readPatience.
+var errSlow = resultcode.Errorf(resultcode.PlatformUnreachable, "no answer yet")
+
+func (s *Syncer) readEnded(update directory.Update, incomplete bool, err error, began time.Duration) {
+	now := s.knowledge.Now()
+	s.reading--
+	s.metrics.read(err == nil, now-began)
+	if incomplete {
+		s.fullUntil = now + fullReadsAfterMiss
+	}
+	if err == nil || now-began < readPatience {
 		s.plan.ReadDone(now, err == nil)
 		s.noteStore(err, now-began)
-		if err == nil {
-			s.apply(update, began, 0, "store")
-		}
-	})
+	}
+	if err == nil {
+		s.apply(update, began, 0, "store")
+	}
+}
+
+// read reads the store once.
+func (s *Syncer) read(ctx context.Context, full bool) (update directory.Update, incomplete bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return s.fetch(ctx, full)
 }
 
 // fetch returns what has changed in the store, nothing when its revision has not.
-func (s *Syncer) fetch(ctx context.Context, changesTimeout time.Duration, full bool) (update directory.Update, incomplete bool, err error) {
+func (s *Syncer) fetch(ctx context.Context, full bool) (update directory.Update, incomplete bool, err error) {
 	at, _ := s.knowledge.At()
 	if at == 0 {
 		update, err = s.source.Everything(ctx)
 		return update, false, err
 	}
+	began := s.knowledge.Now()
 	revision, err := s.source.Revision(ctx)
 	if err != nil {
 		return update, false, err
@@ -167,7 +209,8 @@
 		return directory.Update{Since: at, At: at}, false, nil
 	}
 	if !full {
-		update, err = s.changes(ctx, changesTimeout, at)
+		took := s.knowledge.Now() - began
+		update, err = s.changes(ctx, max(changesTimes*took, minChangesTime), at)
 		if err == nil && update.At >= revision {
 			return update, false, nil
 		}
@@ -184,18 +227,9 @@
 	return s.source.Changes(ctx, since)
 }
 
-// noteStore adapts the time-out of reads and tells of a lost or regained store.
+// noteStore tells of a lost or regained store.
 func (s *Syncer) noteStore(err error, took time.Duration) {
 	up := err == nil
-	s.metrics.read(up, took)
-	if up {
-		s.timeout = readTimeout
-		if took > readTimeout/2 {
-			s.timeout = maxReadTimeout
-		}
-	} else if took >= s.timeout {
-		s.timeout = min(2*s.timeout, maxReadTimeout)
-	}
 	if up == s.storeUp {
 		return
 	}
--- a/standins/estate/discovery_test.go
+++ b/standins/estate/discovery_test.go
@@ -175,6 +175,21 @@
 	within(t, bound, "configuration", func() bool { return n.version() == 2 })
 }
 
+// Guards against an instance that waits for calls which a cut has swallowed while new
+// ones would be answered.
+func TestReadsGoOnAfterACut(t *testing.T) {
+	store := estateWith(2)
+	n := startNode(t, store, "entry-1")
+	within(t, bound, "start", func() bool { return n.version() == 1 })
+	for version := 2; version < 5; version++ {
+		n.door.Set(estate.Faults{Mode: estate.Silent, Forever: true})
+		time.Sleep(time.Duration(version) * 700 * time.Millisecond)
+		publish(store, version)
+		n.door.Set(estate.Faults{})
+		within(t, bound, "configuration after the cut", func() bool { return n.version() == uint64(version) })
+	}
+}
+
 // Guards against a slow store that is given up at each call.
 func TestSlowStoreIsWaitedFor(t *testing.T) {
 	store := estateWith(2)
--- a/standins/estate/server.go
+++ b/standins/estate/server.go
@@ -26,6 +26,9 @@
 // Faults are the troubles of one door.
 type Faults struct {
 	Mode Mode
+	// Forever keeps silent calls hanging when the door opens again, as packets that
+	// a cut has swallowed do.
+	Forever bool
 	// Delay is added to every answer.
 	Delay time.Duration
 	// LoseWrites does writes without answering; with LateBy they are done later.
@@ -99,6 +102,9 @@
 		reset(w)
 		return
 	case Silent:
+		if faults.Forever {
+			released = nil
+		}
 		d.hang(r, released)
 		reset(w)
 		return
