--- a/binaries/burdock-relayd/main.go
+++ b/binaries/burdock-relayd/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -29,6 +30,9 @@
 	exitFaults = 3
 )
 
+// flushTimeout bounds the sending of buffered spans.
+const flushTimeout = 2 * time.Second
+
 func main() {
 	os.Exit(run())
 }
@@ -86,7 +90,12 @@
 	output := observe.NewAsyncWriter(os.Stdout, program)
 	defer output.Close()
 	logger := observe.NewLeveledLogger(output, level, program)
-	instance, err := relayd.Start(loaded, adapter(loaded, logger), logger)
+	tracer, err := observe.NewTracer(context.Background(), loaded.Trace, program)
+	if err != nil {
+		return err
+	}
+	defer flushTraces(tracer, logger)
+	instance, err := relayd.Start(loaded, adapter(loaded, logger), logger, tracer)
 	if err != nil {
 		logger.Error("start_failed", zap.Error(err))
 		return err
@@ -101,6 +110,14 @@
 	return wait(instance, stops, logger)
 }
 
+func flushTraces(tracer *observe.Tracer, logger *zap.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	if err := tracer.Shutdown(ctx); err != nil {
+		logger.Warn("traces_lost", zap.Error(err))
+	}
+}
+
 func wait(instance *relayd.Instance, stops <-chan os.Signal, logger *zap.Logger) error {
 	select {
 	case <-instance.Dying():
--- a/internal/entry/tracing_test.go
+++ b/internal/entry/tracing_test.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/flowtrace"
 )
 
 // Guards against hops of one flow that end up in different traces, and against
@@ -30,7 +31,7 @@
 		a.send(t, syn(t, port))
 		e.receive(t)
 	}
-	traceID := flowContext(callerTuple(port)).TraceID()
+	traceID := flowtrace.Context(callerTuple(port)).TraceID()
 	waitFor(t, "span of every hop", func() bool {
 		names := spanNames(recorder, traceID)
 		return names[spanReceive] == 1 && names[spanRelay] == 1 && names[spanOwner] == 1 && names[spanEndpoint] == 1
@@ -64,10 +65,10 @@
 func TestSampleRatio(t *testing.T) {
 	const flows = 20_000
 	for _, ratio := range []float64{0, 0.1, 1} {
-		tracing := newTracing(nil, ratio, "")
+		tracer := flowtrace.New(nil, ratio)
 		sampled := 0
 		for port := range uint16(flows) {
-			if tracing.sampled(callerTuple(port)) {
+			if tracer.Sampled(callerTuple(port)) {
 				sampled++
 			}
 		}
--- a/internal/ingress/observer.go
+++ b/internal/ingress/observer.go
@@ -7,12 +7,14 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/attribute"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
 	"burdockrelay.example/burdockrelay/common"
 	"burdockrelay.example/burdockrelay/internal/decision/selection"
 	"burdockrelay.example/burdockrelay/internal/decision/steering"
+	"burdockrelay.example/burdockrelay/internal/flowtrace"
 	"burdockrelay.example/burdockrelay/internal/resultcode"
 )
 
@@ -30,6 +32,7 @@
 	limiter *rate.Limiter
 	// suspected is told of endpoints that have become suspect.
 	suspected func(*selection.Member)
+	tracer    *flowtrace.Tracer
 
 	mu         sync.Mutex
 	suppressed uint64
@@ -46,8 +49,9 @@
 
 // NewObserver registers the metrics. suspected is told of endpoints that do not
 // answer; it must not block.
-func NewObserver(logger *zap.Logger, registry prometheus.Registerer, suspected func(*selection.Member)) *Observer {
+func NewObserver(logger *zap.Logger, registry prometheus.Registerer, tracer *flowtrace.Tracer, suspected func(*selection.Member)) *Observer {
 	o := &Observer{
+		tracer:    tracer,
 		logger:    logger,
 		limiter:   rate.NewLimiter(decisionsPerSecond, decisionsBurst),
 		suspected: suspected,
@@ -131,6 +135,31 @@
 	o.logger.Info(action.Event.String(), fields...)
 }
 
+// Names of the spans of a flow's first packet.
+const (
+	spanReceive  = "ingress.receive"
+	spanEndpoint = "ingress.choose_endpoint"
+)
+
+// trace makes the spans of a first packet whose flow is in the sample.
+func (o *Observer) trace(p *steering.Packet, action *steering.Action, started time.Time) {
+	if !p.First {
+		return
+	}
+	ctx, traced := o.tracer.Begin(p.Hash, uint64(p.Hash)^uint64(p.Sequence))
+	if !traced {
+		return
+	}
+	ended := time.Now()
+	ctx = o.tracer.Span(ctx, spanReceive, started, ended,
+		attribute.Int("result_code", int(action.Code)), attribute.String("to", destination(&p.Tuple).String()))
+	if action.Kind == steering.Forward {
+		endpoint := action.Member.Endpoint()
+		o.tracer.Span(ctx, spanEndpoint, started, ended,
+			attribute.String("endpoint", endpoint.Name), attribute.String("service", endpoint.Service))
+	}
+}
+
 // expired takes a flow that ended without a packet and without a response.
 func (o *Observer) expired(e *steering.Expired) {
 	o.events.WithLabelValues("flow_expired").Inc()
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -125,6 +125,7 @@
 // envelope, and sends it on.
 func (s *Server) handle(buffer, data []byte) {
 	var p steering.Packet
+	started := time.Now()
 	now := s.knowledge.Now()
 	s.received.Store(int64(now))
 	if code := s.codec.Decode(data, &p); code != resultcode.OK {
@@ -134,6 +135,7 @@
 	view, fresh := s.knowledge.Current(now)
 	action := s.flows.Handle(view, &p, fresh, now)
 	s.observer.handled(&p, &action, view, fresh)
+	s.observer.trace(&p, &action, started)
 	switch action.Kind {
 	case steering.Forward:
 		s.forward(buffer[:s.codec.EnvelopeSize()+len(data)], data, action)
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -13,11 +13,13 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 	tomb "gopkg.in/tomb.v2"
 
 	"burdockrelay.example/burdockrelay/internal/discovery"
+	"burdockrelay.example/burdockrelay/internal/flowtrace"
 	"burdockrelay.example/burdockrelay/internal/ingress"
 	"burdockrelay.example/burdockrelay/internal/objectstore"
 	"burdockrelay.example/burdockrelay/internal/observe"
@@ -82,7 +84,7 @@
 }
 
 // Start opens the sockets and begins to serve.
-func Start(loaded *settings.Relay, adapter Adapter, logger *zap.Logger) (*Instance, error) {
+func Start(loaded *settings.Relay, adapter Adapter, logger *zap.Logger, tracer trace.Tracer) (*Instance, error) {
 	if loaded.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(loaded.MemoryMB) * (1 << 20)))
 	}
@@ -95,7 +97,7 @@
 	metrics := discovery.NewMetrics(registry, i.knowledge, peers)
 	i.syncer = discovery.NewSyncer(loaded.Instance, bound(loaded), i.knowledge, peers, adapter.Source, metrics, logger)
 	checks := prober.New(ctx, adapter.Checker, i.knowledge, logger, registry)
-	observer := ingress.NewObserver(logger, registry, checks.Suspect)
+	observer := ingress.NewObserver(logger, registry, flowtrace.New(tracer, loaded.Trace.SampleRatio), checks.Suspect)
 	var err error
 	i.packets, err = ingress.Listen(loaded.PacketListen, adapter.Codec, i.knowledge, observer, int(loaded.MaxFlows))
 	if err != nil {
