Stand in for the users' endpoints, routers and callers, test whole instances

Instances run in the test's process against a store with troubles, endpoints that answer callers directly, routers that probe readiness, and callers that keep flows open. A ledger checks what callers and endpoints see.

--- /dev/null
+++ b/standins/estate/operator.go
@@ -0,0 +1,65 @@
+package estate
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+)
+
+// Operator publishes configurations.
+type Operator struct {
+	store  *Store
+	ledger *Ledger
+
+	mu           sync.Mutex
+	version      int
+	destinations []Destination
+}
+
+// NewOperator returns an operator of a store.
+func NewOperator(store *Store, ledger *Ledger) *Operator {
+	return &Operator{store: store, ledger: ledger}
+}
+
+// Publish puts a set of destinations in force.
+func (o *Operator) Publish(destinations []Destination) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.version += 1 + o.version%3
+	var routes, services []map[string]any
+	named := map[string]bool{}
+	for i, d := range destinations {
+		// A destination may be served from now on: before the store says so.
+		o.ledger.allow(d.end(), d.Service)
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("r-%d", i), "host": d.Address.String(), "path_prefix": fmt.Sprintf("/%d/", d.Port),
+			"service": d.Service, "timeout_ms": d.Limit.Milliseconds(), "kind": "idempotent", "priority": 1,
+		})
+		if !named[d.Service] {
+			named[d.Service] = true
+			services = append(services, map[string]any{"name": d.Service, "health_path": "/health", "max_conns": 2000})
+		}
+	}
+	content, err := json.Marshal(map[string]any{
+		"version": o.version, "routes": routes, "services": services, "limits": map[string]any{"idle_timeout_ms": 15000},
+	})
+	if err != nil {
+		panic(err)
+	}
+	o.store.Put("config", "main", content)
+	for _, former := range o.destinations {
+		if !contains(destinations, former) {
+			o.ledger.withdraw(former.end())
+		}
+	}
+	o.destinations = destinations
+}
+
+func contains(destinations []Destination, d Destination) bool {
+	for _, other := range destinations {
+		if other.end() == d.end() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/standins/estate/relayd_test.go
@@ -0,0 +1,236 @@
+package estate_test
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"go.opentelemetry.io/otel/trace/noop"
+	"go.uber.org/zap"
+
+	"burdockrelay.example/burdockrelay/internal/relayd"
+	"burdockrelay.example/burdockrelay/internal/settings"
+	"burdockrelay.example/burdockrelay/platform"
+	"burdockrelay.example/burdockrelay/standins/estate"
+)
+
+// site is a small installation in this process.
+type site struct {
+	t        *testing.T
+	store    *estate.Store
+	ledger   *estate.Ledger
+	operator *estate.Operator
+	router   *estate.Router
+	port     uint16
+	entries  map[string]*entry
+	tally    estate.Tally
+	stop     chan struct{}
+}
+
+type entry struct {
+	instance *relayd.Instance
+	door     *estate.Door
+	settings *settings.Relay
+}
+
+// freePort returns a port that is free for packets on several loopback addresses.
+func freePort(t *testing.T) uint16 {
+	t.Helper()
+	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	return socket.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+}
+
+func newSite(t *testing.T, instances, desks, stores int) *site {
+	t.Helper()
+	s := &site{
+		t: t, store: estate.NewStore(), ledger: estate.NewLedger(3 * time.Second), router: estate.NewRouter(),
+		port: freePort(t), entries: map[string]*entry{}, stop: make(chan struct{}),
+	}
+	t.Cleanup(s.router.Close)
+	s.operator = estate.NewOperator(s.store, s.ledger)
+	s.operator.Publish(destinations())
+	for i := range desks {
+		s.endpoint(i+1, "desk")
+	}
+	for i := range stores {
+		s.endpoint(100+i, "store")
+	}
+	for i := range instances {
+		s.start(fmt.Sprintf("entry-%d", i+1), fmt.Sprintf("127.0.1.%d", i+1))
+	}
+	return s
+}
+
+func destinations() []estate.Destination {
+	host := netip.MustParseAddr("198.18.0.1")
+	return []estate.Destination{
+		{Address: host, Port: 443, Service: "desk", Kind: estate.Idempotent, Size: 4000, Work: 10 * time.Millisecond, Limit: time.Second},
+		{Address: host, Port: 8443, Service: "desk", Kind: estate.Report, Size: 600, Work: 10 * time.Millisecond, Limit: time.Second, Kept: true},
+		{Address: host, Port: 80, Service: "store", Kind: estate.Download, Size: 80_000, Work: 5 * time.Millisecond, Limit: 3 * time.Second},
+	}
+}
+
+func (s *site) endpoint(id int, service string) *estate.Endpoint {
+	s.t.Helper()
+	e, err := estate.StartEndpoint(estate.EndpointSettings{
+		Name: fmt.Sprintf("i-%x", id*7919), Service: service, Zone: "fukuoka",
+		Address: netip.MustParseAddrPort(fmt.Sprintf("127.0.2.%d:%d", id, s.port)), CallerPort: s.port,
+	}, s.store, s.ledger)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(e.Close)
+	return e
+}
+
+// start starts an instance and makes the routers send to it.
+func (s *site) start(name, ip string) *entry {
+	s.t.Helper()
+	door, err := s.store.OpenDoor("127.0.0.1")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	address := func(offset uint16) netip.AddrPort {
+		return netip.AddrPortFrom(netip.MustParseAddr(ip), s.port+offset)
+	}
+	e := &entry{door: door, settings: &settings.Relay{
+		Instance: name, DataCentre: "fukuoka", PacketListen: address(0), ReadyListen: address(1), PeerListen: address(2),
+		Store: netip.MustParseAddrPort(door.Address()), ApplyDeadline: 3 * time.Second, DrainDeadline: 3 * time.Second,
+		StopDeadline: 5 * time.Second, FlowLifetime: time.Minute, MaxFlows: 10_000,
+	}}
+	s.run(e)
+	s.entries[name] = e
+	s.router.Add(&estate.Entry{Name: name, Packets: address(0), Ready: address(1)})
+	s.t.Cleanup(func() {
+		_ = e.instance.Kill()
+		_ = door.Close()
+	})
+	return e
+}
+
+// run starts an instance with its settings.
+func (s *site) run(e *entry) {
+	s.t.Helper()
+	store := platform.NewStore(e.settings.Store)
+	adapter := relayd.Adapter{
+		Codec: platform.PacketCodec{}, Store: store,
+		Source:  &platform.Source{Store: store, Logger: zap.NewNop()},
+		Checker: platform.NewHealthChecker(),
+	}
+	instance, err := relayd.Start(e.settings, adapter, zap.NewNop(), noop.NewTracerProvider().Tracer(""))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	e.instance = instance
+}
+
+// call starts users of all destinations.
+func (s *site) call(users int) {
+	s.t.Helper()
+	within(s.t, 5*time.Second, "instances in rotation", func() bool { return s.router.InRotation() == len(s.entries) })
+	host, err := estate.OpenHost(netip.MustParseAddr("127.0.3.1"), s.port, s.router, s.ledger)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(host.Close)
+	for _, d := range destinations() {
+		for range users {
+			go host.Use(&d, 50*time.Millisecond, &s.tally, s.stop)
+		}
+	}
+}
+
+// finish ends the users and checks what was seen: no broken promise, and at least a
+// share of the requests answered.
+func (s *site) finish(leastShare float64) {
+	s.t.Helper()
+	close(s.stop)
+	time.Sleep(200 * time.Millisecond)
+	for _, violation := range s.ledger.Violations() {
+		s.t.Error(violation)
+	}
+	asked, answered, refused, broken := s.tally.Counts()
+	s.t.Logf("%d asked, %d answered, %d refused, %d broken", asked, answered, refused, broken)
+	if asked < 100 || float64(answered) < leastShare*float64(asked) {
+		s.t.Errorf("%d of %d requests answered, %d refused, %d broken", answered, asked, refused, broken)
+	}
+}
+
+// Guards against a path from callers to endpoints that loses or changes anything on a
+// calm day.
+func TestCalmDay(t *testing.T) {
+	s := newSite(t, 3, 4, 2)
+	s.call(4)
+	time.Sleep(3 * time.Second)
+	s.finish(1)
+}
+
+// Guards against requests that are lost when instances are stopped and started in
+// turn.
+func TestRollingRestart(t *testing.T) {
+	s := newSite(t, 3, 4, 2)
+	s.call(4)
+	for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
+		e := s.entries[name]
+		if err := e.instance.Stop(); err != nil {
+			t.Fatal(err)
+		}
+		s.run(e)
+		within(t, 3*time.Second, "instance back", func() bool { return s.router.InRotation() == 3 })
+	}
+	s.finish(0.999)
+}
+
+// Guards against requests that are lost when endpoints are replaced one after the
+// other, and against flows on an endpoint that has drained long enough.
+func TestReplacedEndpoints(t *testing.T) {
+	s := newSite(t, 2, 0, 2)
+	old := []*estate.Endpoint{s.endpoint(1, "desk"), s.endpoint(2, "desk"), s.endpoint(3, "desk")}
+	time.Sleep(time.Second)
+	s.call(4)
+	for i, e := range old {
+		s.endpoint(10+i, "desk")
+		s.ledger.Draining(e.Name())
+		e.Drain()
+		time.Sleep(1500 * time.Millisecond)
+	}
+	time.Sleep(2 * time.Second)
+	s.finish(0.999)
+}
+
+// Guards against callers who wait for an endpoint that has died silently.
+func TestSilentEndpoint(t *testing.T) {
+	s := newSite(t, 2, 5, 2)
+	dead := s.endpoint(50, "desk")
+	time.Sleep(time.Second)
+	s.call(4)
+	time.Sleep(time.Second)
+	s.ledger.Gone(dead.Name())
+	dead.Silence(true)
+	time.Sleep(2 * time.Second)
+	s.finish(0.97)
+}
+
+// Guards against an instance without a store that serves nothing, one that refuses
+// what it could serve, and rules that are not in force in time.
+func TestStoreAway(t *testing.T) {
+	s := newSite(t, 3, 4, 2)
+	s.call(4)
+	time.Sleep(time.Second)
+	for _, e := range s.entries {
+		e.door.Set(estate.Faults{Mode: estate.Silent})
+	}
+	time.Sleep(4 * time.Second)
+	for _, e := range s.entries {
+		e.door.Set(estate.Faults{})
+	}
+	s.operator.Publish(destinations()[:2])
+	time.Sleep(4 * time.Second)
+	s.finish(0.7)
+}
--- /dev/null
+++ b/standins/estate/request.go
@@ -0,0 +1,89 @@
+package estate
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"time"
+)
+
+// request is what a caller asks on a flow.
+type request struct {
+	id   uint64
+	kind Kind
+	// size is the number of bytes of the response.
+	size uint32
+	work time.Duration
+}
+
+// Kind tells whether a request may run more than once.
+type Kind byte
+
+// Kinds of requests.
+const (
+	Idempotent Kind = iota
+	Report
+	Download
+)
+
+// Status bytes of a response.
+const (
+	statusDone byte = 1
+	statusShed byte = 2 // refused, not run
+)
+
+const (
+	requestSize  = 8 + 1 + 4 + 4
+	responseHead = 8 + 1 + 4
+)
+
+func (r *request) encode() []byte {
+	data := make([]byte, requestSize)
+	binary.BigEndian.PutUint64(data, r.id)
+	data[8] = byte(r.kind)
+	binary.BigEndian.PutUint32(data[9:], r.size)
+	binary.BigEndian.PutUint32(data[13:], uint32(r.work/time.Microsecond))
+	return data
+}
+
+// cutRequest takes the first request off received bytes.
+func cutRequest(data []byte) (r request, rest []byte, whole bool) {
+	if len(data) < requestSize {
+		return r, data, false
+	}
+	r = request{
+		id: binary.BigEndian.Uint64(data), kind: Kind(data[8]), size: binary.BigEndian.Uint32(data[9:]),
+		work: time.Duration(binary.BigEndian.Uint32(data[13:])) * time.Microsecond,
+	}
+	return r, data[requestSize:], true
+}
+
+// response returns the answer to a request: its id, a status, and a body that
+// follows from the id.
+func response(r *request, status byte) []byte {
+	size := r.size
+	if status != statusDone {
+		size = 0
+	}
+	data := make([]byte, responseHead, responseHead+size)
+	binary.BigEndian.PutUint64(data, r.id)
+	data[8] = status
+	binary.BigEndian.PutUint32(data[9:], size)
+	return append(data, body(r.id, size)...)
+}
+
+// body returns the bytes of a response.
+func body(id uint64, size uint32) []byte {
+	data := make([]byte, size)
+	h := fnv.New64a()
+	var seed [16]byte
+	binary.BigEndian.PutUint64(seed[:], id)
+	for at := 0; at < len(data); at += 8 {
+		binary.BigEndian.PutUint64(seed[8:], uint64(at))
+		h.Reset()
+		_, _ = h.Write(seed[:])
+		var block [8]byte
+		binary.BigEndian.PutUint64(block[:], h.Sum64())
+		copy(data[at:], block[:])
+	}
+	return data
+}
--- /dev/null
+++ b/standins/estate/users.go
@@ -0,0 +1,106 @@
+package estate
+
+import (
+	"math/rand"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Destination is an address and port of a service.
+type Destination struct {
+	Address netip.Addr
+	Port    uint16
+	Service string
+	Kind    Kind
+	// Size is the number of bytes of a response, Work the time that it takes.
+	Size uint32
+	Work time.Duration
+	// Limit is how long a user waits for an answer.
+	Limit time.Duration
+	// Kept makes users send several requests on a flow, with pauses.
+	Kept bool
+}
+
+func (d *Destination) end() end { return end{d.Address, d.Port} }
+
+// Tally counts how requests ended.
+type Tally struct {
+	mu       sync.Mutex
+	Asked    int
+	Answered int
+	Refused  int
+	Failed   int
+	// Broken counts flows that ended in the middle of a request.
+	Broken int
+}
+
+func (t *Tally) add(o outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.Asked++
+	switch o {
+	case answered:
+		t.Answered++
+	case refused:
+		t.Refused++
+	case broken:
+		t.Broken++
+		t.Failed++
+	default:
+		t.Failed++
+	}
+}
+
+// Counts returns the counts so far.
+func (t *Tally) Counts() (asked, answered, refused, broken int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.Asked, t.Answered, t.Refused, t.Broken
+}
+
+// retries is the number of further tries of a request.
+const retries = 2
+
+// Use sends requests of one user to a destination until stop is closed, with a pause
+// between them.
+func (h *Host) Use(d *Destination, pause time.Duration, tally *Tally, stop <-chan struct{}) {
+	var flow *attempt
+	hangUp := func() {
+		if flow != nil {
+			h.hangUp(flow)
+			flow = nil
+		}
+	}
+	defer hangUp()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-h.done:
+			return
+		case <-time.After(time.Duration(float64(pause) * (0.5 + rand.Float64()))):
+		}
+		r := &request{id: nextRequest.Add(1), kind: d.Kind, size: d.Size, work: d.Work}
+		deadline := time.Now().Add(d.Limit)
+		var result outcome
+		for try := 0; ; try++ {
+			if flow == nil {
+				flow = h.dial(d.end())
+			}
+			result = h.exchange(flow, r, deadline)
+			if result != answered || !d.Kept || rand.Intn(10) == 0 {
+				hangUp()
+			}
+			if result == answered || try == retries || !h.mayRetry(d, result) || time.Now().After(deadline) {
+				break
+			}
+		}
+		tally.add(result)
+	}
+}
+
+// mayRetry reports whether a request may be sent again after an outcome.
+func (h *Host) mayRetry(d *Destination, o outcome) bool {
+	return d.Kind != Report || o == notOpened || o == refused
+}
