--- a/standins/estate/relayd_test.go
+++ b/standins/estate/relayd_test.go
@@ -46,7 +46,7 @@
 	return socket.LocalAddr().(*net.UDPAddr).AddrPort().Port()
 }
 
-func newSite(t *testing.T, instances, desks, stores int) *site {
+func newSite(t *testing.T, instances, desks int) *site {
 	t.Helper()
 	s := &site{
 		t: t, store: estate.NewStore(), ledger: estate.NewLedger(3 * time.Second), router: estate.NewRouter(),
@@ -58,7 +58,7 @@
 	for i := range desks {
 		s.endpoint(i+1, "desk")
 	}
-	for i := range stores {
+	for i := range 2 {
 		s.endpoint(100+i, "store")
 	}
 	for i := range instances {
@@ -131,7 +131,7 @@
 }
 
 // call starts users of all destinations.
-func (s *site) call(users int) {
+func (s *site) call() {
 	s.t.Helper()
 	within(s.t, 5*time.Second, "instances in rotation", func() bool { return s.router.InRotation() == len(s.entries) })
 	host, err := estate.OpenHost(netip.MustParseAddr("127.0.3.1"), s.port, s.router, s.ledger)
@@ -140,7 +140,7 @@
 	}
 	s.t.Cleanup(host.Close)
 	for _, d := range destinations() {
-		for range users {
+		for range 4 {
 			go host.Use(&d, 50*time.Millisecond, &s.tally, s.stop)
 		}
 	}
@@ -165,8 +165,8 @@
 // Guards against a path from callers to endpoints that loses or changes anything on a
 // calm day.
 func TestCalmDay(t *testing.T) {
-	s := newSite(t, 3, 4, 2)
-	s.call(4)
+	s := newSite(t, 3, 4)
+	s.call()
 	time.Sleep(3 * time.Second)
 	s.finish(1)
 }
@@ -174,8 +174,8 @@
 // Guards against requests that are lost when instances are stopped and started in
 // turn.
 func TestRollingRestart(t *testing.T) {
-	s := newSite(t, 3, 4, 2)
-	s.call(4)
+	s := newSite(t, 3, 4)
+	s.call()
 	for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
 		e := s.entries[name]
 		if err := e.instance.Stop(); err != nil {
@@ -190,10 +190,10 @@
 // Guards against requests that are lost when endpoints are replaced one after the
 // other, and against flows on an endpoint that has drained long enough.
 func TestReplacedEndpoints(t *testing.T) {
-	s := newSite(t, 2, 0, 2)
+	s := newSite(t, 2, 0)
 	old := []*estate.Endpoint{s.endpoint(1, "desk"), s.endpoint(2, "desk"), s.endpoint(3, "desk")}
 	time.Sleep(time.Second)
-	s.call(4)
+	s.call()
 	for i, e := range old {
 		s.endpoint(10+i, "desk")
 		s.ledger.Draining(e.Name())
@@ -206,10 +206,10 @@
 
 // Guards against callers who wait for an endpoint that has died silently.
 func TestSilentEndpoint(t *testing.T) {
-	s := newSite(t, 2, 5, 2)
+	s := newSite(t, 2, 5)
 	dead := s.endpoint(50, "desk")
 	time.Sleep(time.Second)
-	s.call(4)
+	s.call()
 	time.Sleep(time.Second)
 	s.ledger.Gone(dead.Name())
 	dead.Silence(true)
@@ -220,8 +220,8 @@
 // Guards against an instance without a store that serves nothing, one that refuses
 // what it could serve, and rules that are not in force in time.
 func TestStoreAway(t *testing.T) {
-	s := newSite(t, 3, 4, 2)
-	s.call(4)
+	s := newSite(t, 3, 4)
+	s.call()
 	time.Sleep(time.Second)
 	for _, e := range s.entries {
 		e.door.Set(estate.Faults{Mode: estate.Silent})
