--- /dev/null
+++ b/internal/decision/admission/admission_test.go
@@ -0,0 +1,174 @@
+package admission
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+)
+
+const target = 150 * time.Millisecond
+
+// service is a model of endpoints with one queue: slots serve at once, the others
+// wait in turn up to a bound. Arrivals follow a rate.
+type service struct {
+	random  *rand.Rand
+	limiter *Limiter
+	slots   int
+	queue   int
+	work    time.Duration
+
+	now      time.Duration
+	busy     []time.Duration // when each slot is free
+	underWay []job
+	// inTime, late, shed and refused count requests.
+	inTime, late, shed, refused int
+}
+
+type job struct {
+	began, ends time.Duration
+}
+
+func newService(work time.Duration, limiter *Limiter) *service {
+	const slots = 10
+	return &service{
+		random: rand.New(rand.NewSource(1)), limiter: limiter, slots: slots, queue: 6 * slots, work: work,
+		busy: make([]time.Duration, slots),
+	}
+}
+
+// run sends requests at a rate for a time.
+func (s *service) run(perSecond float64, length time.Duration) {
+	for end := s.now + length; s.now < end; {
+		s.now += time.Duration(s.random.ExpFloat64() / perSecond * float64(time.Second))
+		s.finish()
+		if s.limiter != nil && !s.limiter.Admit(s.now, len(s.underWay), float64(s.slots), 0) {
+			s.refused++
+			continue
+		}
+		if len(s.underWay) >= s.slots+s.queue {
+			s.shed++
+			continue
+		}
+		s.begin()
+	}
+}
+
+func (s *service) begin() {
+	first := 0
+	for at, free := range s.busy {
+		if free < s.busy[first] {
+			first = at
+		}
+	}
+	start := max(s.busy[first], s.now)
+	work := time.Duration((0.5 + s.random.Float64()) * float64(s.work))
+	s.busy[first] = start + work
+	s.underWay = append(s.underWay, job{began: s.now, ends: s.busy[first]})
+}
+
+func (s *service) finish() {
+	kept := s.underWay[:0]
+	for _, j := range s.underWay {
+		if j.ends > s.now {
+			kept = append(kept, j)
+			continue
+		}
+		took := j.ends - j.began
+		if took <= target {
+			s.inTime++
+		} else {
+			s.late++
+		}
+		if s.limiter != nil {
+			s.limiter.Responded(j.ends, took, target)
+		}
+	}
+	s.underWay = kept
+}
+
+// Guards against a burst above the endpoints' capacity that makes all answers late:
+// about as many as the endpoints can serve must be in time.
+func TestBurstAboveCapacityIsServedInTime(t *testing.T) {
+	const perSecond = 450 // capacity is 333 a second
+	with, without := newService(30*time.Millisecond, &Limiter{}), newService(30*time.Millisecond, nil)
+	for _, s := range []*service{with, without} {
+		s.run(200, 2*time.Second)
+		s.inTime, s.late = 0, 0
+		s.run(perSecond, 10*time.Second)
+	}
+	if with.inTime < 2700 || with.late > with.inTime/5 {
+		t.Errorf("%d in time, %d late, %d refused", with.inTime, with.late, with.refused)
+	}
+	if without.inTime > with.inTime/2 {
+		t.Errorf("%d in time without the limit: the test shows nothing", without.inTime)
+	}
+}
+
+// Guards against a limit that stays after the burst.
+func TestNoLimitAfterTheBurst(t *testing.T) {
+	s := newService(30*time.Millisecond, &Limiter{})
+	s.run(450, 5*time.Second)
+	if s.limiter.Limit() == 0 {
+		t.Fatal("no limit in the burst")
+	}
+	s.run(200, 5*time.Second)
+	s.refused = 0
+	s.run(200, 5*time.Second)
+	if s.refused > 0 || s.limiter.Limit() != 0 {
+		t.Errorf("%d refused, limit %.0f", s.refused, s.limiter.Limit())
+	}
+}
+
+// Guards against refusals while endpoints are free because the service itself has
+// become slower than the target.
+func TestSlowServiceKeepsItsSlotsBusy(t *testing.T) {
+	s := newService(200*time.Millisecond, &Limiter{})
+	// 40 a second keep 8 of 10 slots busy.
+	s.run(40, 20*time.Second)
+	if s.refused > 40*20/10 {
+		t.Errorf("%d of 800 refused", s.refused)
+	}
+}
+
+// Guards against one slow response that limits a service at rest.
+func TestSingleLateResponsesDoNotLimit(t *testing.T) {
+	var l Limiter
+	for i := range 1000 {
+		took := 30 * time.Millisecond
+		if i%10 == 0 {
+			took = time.Second
+		}
+		l.Admit(time.Duration(i)*10*time.Millisecond, 2, 1, 0)
+		l.Responded(time.Duration(i)*10*time.Millisecond, took, target)
+	}
+	if l.Limit() != 0 {
+		t.Errorf("limit %.1f", l.Limit())
+	}
+}
+
+// Guards against an instance that refuses everything because what it has under way
+// was lost and never ends with a response.
+func TestLostRequestsDoNotBlockNewOnes(t *testing.T) {
+	s := newService(30*time.Millisecond, &Limiter{})
+	s.run(450, 5*time.Second)
+	stuck := len(s.underWay) + 100
+	if s.limiter.Admit(s.now, stuck, 1, 0) {
+		t.Fatal("admitted above the limit")
+	}
+	if !s.limiter.Admit(s.now+unheard, stuck, 1, 0) {
+		t.Error("refused without any response for a time")
+	}
+}
+
+// Guards against requests that matter more and are refused with the others.
+func TestHigherPriorityIsRefusedLast(t *testing.T) {
+	l := Limiter{limit: 10}
+	for _, c := range []struct {
+		underWay, level int
+		want            bool
+	}{{9, 0, true}, {10, 0, false}, {10, 1, true}, {12, 1, true}, {13, 1, false}, {14, 2, true}, {15, 9, false}} {
+		if got := l.Admit(0, c.underWay, 1, c.level); got != c.want {
+			t.Errorf("%d under way, level %d: admitted %t", c.underWay, c.level, got)
+		}
+	}
+}
--- a/internal/decision/selection/member.go
+++ b/internal/decision/selection/member.go
@@ -81,6 +81,40 @@
 	return m.endpoint
 }
 
+// PoolStatus is the state of a service's endpoints as this instance sees them.
+type PoolStatus struct {
+	Service string
+	// Healthy, Probation, Suspect and Draining count the listed endpoints.
+	Healthy, Probation, Suspect, Draining int
+	// Waiting counts the requests without a response.
+	Waiting int
+	// Limit bounds the requests under way, 0 for no bound.
+	Limit float64
+	// Usual is the usual response time.
+	Usual time.Duration
+}
+
+// Status returns the state of the pool.
+func (p *Pool) Status() PoolStatus {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	status := PoolStatus{Service: p.service, Limit: p.limiter.Limit(), Usual: time.Duration(p.usual)}
+	for _, m := range p.members {
+		status.Waiting += m.waiting
+		switch {
+		case m.endpoint.Draining:
+			status.Draining++
+		case m.condition == Suspect:
+			status.Suspect++
+		case m.condition == Probation:
+			status.Probation++
+		default:
+			status.Healthy++
+		}
+	}
+	return status
+}
+
 // decay returns how much a value counts that was last changed at a time.
 func decay(since, now, halfLife time.Duration) float64 {
 	return math.Exp2(-float64(max(now-since, 0)) / float64(halfLife))
--- a/internal/decision/selection/selection.go
+++ b/internal/decision/selection/selection.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"burdockrelay.example/burdockrelay/internal/decision/admission"
 	"burdockrelay.example/burdockrelay/internal/directory"
 )
 
@@ -64,6 +65,9 @@
 	// opening holds the choices of the last moments, oldest first.
 	opening []opening
 	choices uint64
+	limiter admission.Limiter
+	// instances is how many instances share the endpoints.
+	instances int
 }
 
 // opening is the choice of an endpoint whose answer is awaited.
@@ -77,6 +81,7 @@
 	return &Pool{
 		service: service, dataCentre: dataCentre,
 		usual: float64(initialResponse), handshake: float64(initialHandshake),
+		instances: 1,
 	}
 }
 
@@ -167,6 +172,38 @@
 	return available
 }
 
+// SetInstances tells how many instances share the endpoints.
+func (p *Pool) SetInstances(count int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.instances = max(count, 1)
+}
+
+// Admit reports whether a new flow may begin whose priority is some levels above the
+// lowest one of the service.
+func (p *Pool) Admit(now time.Duration, level int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	waiting, slots := 0, 0.0
+	for _, m := range p.members {
+		// Requests on a suspect endpoint may be lost and take no slot of another.
+		if !m.endpoint.Draining && m.condition != Suspect {
+			waiting += m.waiting
+			slots += float64(m.endpoint.Slots)
+		}
+	}
+	return p.limiter.Admit(now, waiting, slots/float64(p.instances), level)
+}
+
+// Paused forgets what is awaited, after a pause of the process: answers may have
+// come and gone.
+func (p *Pool) Paused() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opening = nil
+	p.limiter = admission.Limiter{}
+}
+
 // Choose returns the endpoint for a new flow and counts the flow as a waiting
 // request, or returns nil when no endpoint takes new flows. The endpoint avoid is
 // left out while there is another one. silent are the endpoints that have become
@@ -261,12 +298,14 @@
 	m.waiting++
 }
 
-// Responded ends a waiting request whose response began after a time.
-func (m *Member) Responded(now, took time.Duration) {
+// Responded ends a waiting request whose response began after a time. target is the
+// time in which it should, 0 for none.
+func (m *Member) Responded(now, took, target time.Duration) {
 	p := m.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m.waiting = max(m.waiting-1, 0)
+	p.limiter.Responded(now, took, target)
 	m.addResponse(now, float64(took), p.usual)
 	m.addOutcome(now, false)
 	m.alive(now)
@@ -328,13 +367,14 @@
 	m.conditionAt = now
 }
 
-// Unanswered notes that a first packet sent at a time got no answer in due time.
+// Unanswered notes that the caller has repeated a first packet that was sent to the
+// endpoint at a time.
 // It reports whether the endpoint has become suspect by it: when it has shown no
 // life since.
 func (m *Member) Unanswered(now, sentAt time.Duration) bool {
 	m.pool.mu.Lock()
 	defer m.pool.mu.Unlock()
-	if m.aliveAt > sentAt {
+	if m.aliveAt > sentAt || now-sentAt < minAnswerWait {
 		return false
 	}
 	first := m.condition != Suspect
--- a/internal/decision/selection/selection_test.go
+++ b/internal/decision/selection/selection_test.go
@@ -94,7 +94,7 @@
 		for now := from; now < to; now += 8 * time.Millisecond {
 			for i := 0; i < len(open); i++ {
 				if open[i].done <= now {
-					open[i].m.Responded(now, open[i].took)
+					open[i].m.Responded(now, open[i].took, 0)
 					open = append(open[:i], open[i+1:]...)
 					i--
 				}
@@ -108,7 +108,7 @@
 			open = append(open, request{m, now + took, took})
 		}
 		for _, r := range open {
-			r.m.Responded(to, r.took)
+			r.m.Responded(to, r.took, 0)
 		}
 		return chosen
 	}
@@ -133,10 +133,10 @@
 		m := choose(p, now)
 		if m == broken {
 			chosen++
-			m.Responded(now, time.Millisecond)
+			m.Responded(now, time.Millisecond, 0)
 			continue
 		}
-		m.Responded(now, 30*time.Millisecond)
+		m.Responded(now, 30*time.Millisecond, 0)
 	}
 	if chosen > 150 {
 		t.Errorf("%d of 400 flows went to the endpoint that answers at once", chosen)
@@ -157,7 +157,7 @@
 			m.Abandoned(now)
 			continue
 		}
-		m.Responded(now, 30*time.Millisecond)
+		m.Responded(now, 30*time.Millisecond, 0)
 	}
 	if chosen > 20 {
 		t.Errorf("%d of 400 flows went to the endpoint that answers none", chosen)
@@ -185,7 +185,7 @@
 			continue
 		}
 		m.Opened(now+time.Millisecond, 3*time.Millisecond)
-		m.Responded(now+2*time.Millisecond, 2*time.Millisecond)
+		m.Responded(now+2*time.Millisecond, 2*time.Millisecond, 0)
 	}
 	if suspectAt == 0 || suspectAt > time.Second+200*time.Millisecond {
 		t.Errorf("suspect at %v", suspectAt)
@@ -195,12 +195,35 @@
 	}
 }
 
+// Guards against requests that an endpoint took with it when it died and that count as
+// load of the others.
+func TestRequestsOnSuspectEndpointsAreNoLoad(t *testing.T) {
+	p := desk(4, 0)
+	dead := p.member(t, "i-1")
+	for i := range 60 {
+		now := time.Duration(i) * 10 * time.Millisecond
+		choose(p, now).Responded(now, time.Second, 150*time.Millisecond)
+	}
+	now := 600 * time.Millisecond
+	if p.Status().Limit == 0 {
+		t.Fatal("no limit with late responses only")
+	}
+	dead.waiting = 1000
+	if p.Admit(now, 0) {
+		t.Fatal("admitted above the limit")
+	}
+	dead.Unanswered(now+minAnswerWait, now)
+	if !p.Admit(now, 0) {
+		t.Error("refused for the requests of the dead endpoint")
+	}
+}
+
 // Guards against a suspect endpoint that gets its full share after one good health
 // check, and against one that never gets a flow again.
 func TestSuspectEndpointReturnsByDegrees(t *testing.T) {
 	p := desk(3, 0)
 	m := p.member(t, "i-1")
-	m.Unanswered(time.Second, time.Second)
+	m.Unanswered(time.Second+minAnswerWait, time.Second)
 	if got := m.Checked(time.Second, true); got != Probation {
 		t.Fatalf("condition %v after a good check", got)
 	}
@@ -224,7 +247,7 @@
 func TestAllSuspectAreUsedAndDrainingNever(t *testing.T) {
 	p := desk(2, 0)
 	for _, m := range p.members {
-		m.Unanswered(time.Second, time.Second)
+		m.Unanswered(time.Second+minAnswerWait, time.Second)
 	}
 	if m, _ := p.Choose(2*time.Second, nil); m == nil {
 		t.Error("no endpoint is chosen while all are suspect")
@@ -291,7 +314,7 @@
 			m := choose(p, now)
 			order += m.endpoint.Name + " "
 			if random.Intn(2) == 0 {
-				m.Responded(now, time.Duration(random.Intn(60))*time.Millisecond)
+				m.Responded(now, time.Duration(random.Intn(60))*time.Millisecond, 0)
 			}
 		}
 		return order
--- a/internal/decision/steering/steering.go
+++ b/internal/decision/steering/steering.go
@@ -161,6 +161,9 @@
 	if pool == nil {
 		return refusal(resultcode.RefusedNoEndpoint)
 	}
+	if !pool.Admit(now, r.level) {
+		return refusal(resultcode.RefusedOverload)
+	}
 	if len(s.flows) >= s.capacity {
 		return refusal(resultcode.RefusedTableFull)
 	}
@@ -170,7 +173,7 @@
 	}
 	f = &flow{
 		tuple: p.Tuple, sequence: p.Sequence, member: m, label: v.ownLabels[m], copies: p.Copies,
-		openedAt: now, sentAt: now, seenAt: now, waiting: true, timeout: r.timeout(),
+		openedAt: now, sentAt: now, seenAt: now, waiting: true, timeout: r.timeout(), target: r.rule.LatencyTarget,
 	}
 	s.flows[p.Tuple] = f
 	return Action{
--- a/internal/decision/steering/steering_test.go
+++ b/internal/decision/steering/steering_test.go
@@ -182,6 +182,27 @@
 	}
 }
 
+// Guards against a pause of the process that makes endpoints look slow or dead: what
+// was under way before it says nothing.
+func TestPauseEndsWhatWaits(t *testing.T) {
+	i := small()
+	p := packetTo(443, 1000)
+	action := i.table.Handle(i.view, &p, settled, time.Second)
+	i.table.Paused(i.view, 6*time.Second)
+	if status := action.Member.Status(0); status.Waiting != 0 {
+		t.Errorf("%d requests wait after the pause", status.Waiting)
+	}
+	if again := i.table.Handle(i.view, &p, settled, 6*time.Second); len(again.Suspected) != 0 || again.Member != action.Member {
+		t.Errorf("the copy that waited in the socket: %+v", again)
+	}
+	p.First, p.Label, p.Acknowledgement, p.Length = false, action.Label, 5, 0
+	i.table.Handle(i.view, &p, settled, 6*time.Second)
+	p.Acknowledgement = 4005
+	if answer := i.table.Handle(i.view, &p, settled, 6*time.Second); answer.Response != 0 {
+		t.Errorf("a response after %v counts", answer.Response)
+	}
+}
+
 // Guards against a flow without an answer that leaves no trace when it expires.
 func TestUnansweredFlowsExpire(t *testing.T) {
 	i := small()
--- a/internal/decision/steering/table.go
+++ b/internal/decision/steering/table.go
@@ -42,9 +42,10 @@
 	answered bool
 	// finished is set once the caller has ended the flow.
 	finished bool
-	// waiting is set while a request has no response, for at most timeout.
-	waiting bool
-	timeout time.Duration
+	// waiting is set while a request has no response, for at most timeout. target is
+	// the time in which it should have one.
+	waiting         bool
+	timeout, target time.Duration
 	// acknowledged is the caller's last acknowledgement, sent the end of the
 	// caller's data.
 	acknowledged, sent uint32
@@ -130,7 +131,7 @@
 		if f.waiting {
 			f.waiting = false
 			response = now - f.requestedAt
-			f.member.Responded(now, response)
+			f.member.Responded(now, response, f.target)
 		}
 	}
 	end := p.Sequence + uint32(p.Length)
@@ -183,6 +184,27 @@
 	DefaultIdleTimeout = 15 * time.Second
 )
 
+// Paused ends what waits for a response, after a pause of the process: callers may
+// have given up or gone on through other instances, and the time until a response
+// would count the pause.
+func (t *Table) Paused(v *View, now time.Duration) {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for _, f := range s.flows {
+			if f.waiting {
+				f.waiting = false
+				f.member.Moved()
+			}
+			f.sentAt = now
+		}
+		s.mu.Unlock()
+	}
+	for _, pool := range v.pools {
+		pool.Paused()
+	}
+}
+
 // Expired is a flow that ended without a packet and without a response.
 type Expired struct {
 	Tuple    common.FiveTuple
--- a/internal/decision/steering/view.go
+++ b/internal/decision/steering/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"time"
 
 	"burdockrelay.example/burdockrelay/common"
@@ -19,6 +20,8 @@
 	members     []*selection.Member
 	labels      *label.Table
 	ownLabels   map[*selection.Member]label.Label
+	// pools holds the pools of the members.
+	pools []*selection.Pool
 }
 
 // route is one rule with the pools of its services.
@@ -26,6 +29,8 @@
 	rule    directory.Rule
 	pools   []*selection.Pool
 	weights uint64
+	// level is how far the rule's priority is above the lowest one of its services.
+	level int
 }
 
 // Labelled is a member with what its labels depend on.
@@ -46,6 +51,9 @@
 	for i, k := range known {
 		holders[i] = k.Holder
 		v.members = append(v.members, k.Member)
+		if p := k.Member.Pool(); !slices.Contains(v.pools, p) {
+			v.pools = append(v.pools, p)
+		}
 	}
 	v.labels = label.Build(holders)
 	for i, m := range v.members {
@@ -56,15 +64,29 @@
 	}
 	v.version = configuration.Version
 	v.idleTimeout = configuration.IdleTimeout
+	lowest := lowestPriorities(configuration.Rules)
 	for _, rule := range configuration.Rules {
-		v.routes[rule.Address] = newRoute(rule, pool)
+		v.routes[rule.Address] = newRoute(rule, lowest, pool)
 	}
 	return v
 }
 
-func newRoute(rule directory.Rule, pool func(string) *selection.Pool) *route {
+// lowestPriorities returns the lowest priority, the highest number, of the rules of
+// each service.
+func lowestPriorities(rules []directory.Rule) map[string]int {
+	lowest := make(map[string]int)
+	for _, rule := range rules {
+		for _, target := range rule.Targets {
+			lowest[target.Service] = max(lowest[target.Service], rule.Priority)
+		}
+	}
+	return lowest
+}
+
+func newRoute(rule directory.Rule, lowest map[string]int, pool func(string) *selection.Pool) *route {
 	r := &route{rule: rule}
 	for _, target := range rule.Targets {
+		r.level = max(r.level, lowest[target.Service]-rule.Priority)
 		r.pools = append(r.pools, pool(target.Service))
 		r.weights += uint64(target.Weight)
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -30,6 +30,10 @@
 	Targets []Target
 	// Timeout is how long a caller waits for a response.
 	Timeout time.Duration
+	// LatencyTarget is the time in which a response should come, 0 for none.
+	LatencyTarget time.Duration
+	// Priority orders rules of one service under overload; 0 is the highest.
+	Priority int
 }
 
 // Target is one service of a rule. A target of weight 0 gets no new flows.
--- a/internal/discovery/convert.go
+++ b/internal/discovery/convert.go
@@ -71,7 +71,8 @@
 	for _, rule := range c.Rules {
 		wireRule := &syncpb.Rule{
 			Name: rule.Name, Address: addressToWire(rule.Address.Address), Port: uint32(rule.Address.Port),
-			TimeoutMs: uint64(rule.Timeout.Milliseconds()),
+			TimeoutMs: uint64(rule.Timeout.Milliseconds()), LatencyTargetMs: uint64(rule.LatencyTarget.Milliseconds()),
+			Priority: uint32(rule.Priority),
 		}
 		for _, target := range rule.Targets {
 			wireRule.Targets = append(wireRule.Targets, &syncpb.Target{Service: target.Service, Weight: target.Weight})
@@ -97,7 +98,9 @@
 			Address: common.ServiceAddress{
 				Address: addressFromWire(wireRule.Address), Port: uint16(wireRule.Port), Protocol: common.ProtocolTCP,
 			},
-			Timeout: time.Duration(wireRule.TimeoutMs) * time.Millisecond,
+			Timeout:       time.Duration(wireRule.TimeoutMs) * time.Millisecond,
+			LatencyTarget: time.Duration(wireRule.LatencyTargetMs) * time.Millisecond,
+			Priority:      int(wireRule.Priority),
 		}
 		for _, target := range wireRule.Targets {
 			rule.Targets = append(rule.Targets, directory.Target{Service: target.Service, Weight: target.Weight})
--- a/internal/discovery/knowledge.go
+++ b/internal/discovery/knowledge.go
@@ -40,6 +40,8 @@
 	mu      sync.Mutex
 	catalog *directory.Catalog
 	pools   map[string]*selection.Pool
+	// instances is how many instances share the endpoints.
+	instances int
 	// former holds the members of endpoints that are missing.
 	former map[string]*selection.Member
 
@@ -128,11 +130,33 @@
 	p := k.pools[service]
 	if p == nil {
 		p = selection.NewPool(service, k.dataCentre)
+		p.SetInstances(k.instances)
 		k.pools[service] = p
 	}
 	return p
 }
 
+// Pools returns the state of the endpoints of all services.
+func (k *Knowledge) Pools() []selection.PoolStatus {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	statuses := make([]selection.PoolStatus, 0, len(k.pools))
+	for _, p := range k.pools {
+		statuses = append(statuses, p.Status())
+	}
+	return statuses
+}
+
+// SetInstances tells how many instances share the endpoints.
+func (k *Knowledge) SetInstances(count int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.instances = count
+	for _, p := range k.pools {
+		p.SetInstances(count)
+	}
+}
+
 // Applied is the effect of an update.
 type Applied struct {
 	// Usable is false for an update that starts behind the present knowledge.
--- a/internal/discovery/metrics.go
+++ b/internal/discovery/metrics.go
@@ -33,7 +33,7 @@
 			Name: "burdock_peer_ask_seconds", Help: "Duration of questions to peers.", Buckets: callBuckets,
 		}),
 	}
-	registry.MustRegister(m.reads, m.readSeconds, m.asks, m.askSeconds,
+	registry.MustRegister(m.reads, m.readSeconds, m.asks, m.askSeconds, pools{knowledge},
 		gauge("burdock_knowledge_age_seconds", "Time since the store confirmed what the instance knows.", func() float64 {
 			now := knowledge.Now()
 			_, fresh := knowledge.Current(now)
@@ -54,6 +54,42 @@
 	return m
 }
 
+// pools collects the state of the services' endpoints when metrics are fetched.
+type pools struct {
+	knowledge *Knowledge
+}
+
+var (
+	endpointsDesc = prometheus.NewDesc("burdock_endpoints", "Listed endpoints by service and condition.",
+		[]string{"service", "condition"}, nil)
+	waitingDesc = prometheus.NewDesc("burdock_requests_waiting", "Requests without a response by service.",
+		[]string{"service"}, nil)
+	limitDesc = prometheus.NewDesc("burdock_admission_limit", "Limit of the requests under way by service, 0 for none.",
+		[]string{"service"}, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (pools) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- endpointsDesc
+	descriptions <- waitingDesc
+	descriptions <- limitDesc
+}
+
+// Collect implements prometheus.Collector.
+func (p pools) Collect(metrics chan<- prometheus.Metric) {
+	send := func(description *prometheus.Desc, value float64, labels ...string) {
+		metrics <- prometheus.MustNewConstMetric(description, prometheus.GaugeValue, value, labels...)
+	}
+	for _, status := range p.knowledge.Pools() {
+		send(endpointsDesc, float64(status.Healthy), status.Service, "healthy")
+		send(endpointsDesc, float64(status.Probation), status.Service, "probation")
+		send(endpointsDesc, float64(status.Suspect), status.Service, "suspect")
+		send(endpointsDesc, float64(status.Draining), status.Service, "draining")
+		send(waitingDesc, float64(status.Waiting), status.Service)
+		send(limitDesc, status.Limit, status.Service)
+	}
+}
+
 func gauge(name, help string, value func() float64) prometheus.Collector {
 	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
 }
--- a/internal/discovery/syncer.go
+++ b/internal/discovery/syncer.go
@@ -320,7 +320,9 @@
 		s.plan.Heard(peer.Name, heardAt)
 	}
 	if changed {
-		s.plan.SetPeers(s.peers.Names(now))
+		names := s.peers.Names(now)
+		s.plan.SetPeers(names)
+		s.knowledge.SetInstances(1 + len(names))
 	}
 }
 
--- a/internal/ingress/observer.go
+++ b/internal/ingress/observer.go
@@ -74,6 +74,11 @@
 	o.count(code)
 }
 
+// paused takes a pause of the process, with the age of the knowledge after it.
+func (o *Observer) paused(length time.Duration, fresh steering.Freshness) {
+	o.logger.Warn("process_paused", zap.Duration("length", length), zap.Int64("age_ms", fresh.Age.Milliseconds()))
+}
+
 func (o *Observer) receiveFailed(err error) {
 	o.count(resultcode.PacketReceiveFailed)
 	if o.allowed() {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -59,6 +59,7 @@
 	tomb      tomb.Tomb
 	started   atomic.Bool
 	received  atomic.Int64 // time of the last packet
+	running   atomic.Int64 // time of the last heartbeat
 }
 
 // Listen opens the socket. Packets wait in it until Start.
@@ -80,7 +81,9 @@
 // Start begins to handle packets.
 func (s *Server) Start() {
 	s.started.Store(true)
+	s.running.Store(int64(s.knowledge.Now()))
 	s.tomb.Go(s.run)
+	s.tomb.Go(s.beat)
 	s.tomb.Go(s.expire)
 }
 
@@ -128,6 +131,7 @@
 	started := time.Now()
 	now := s.knowledge.Now()
 	s.received.Store(int64(now))
+	s.notePause(now)
 	if code := s.codec.Decode(data, &p); code != resultcode.OK {
 		s.observer.dropped(code)
 		return
@@ -144,6 +148,40 @@
 	}
 }
 
+const (
+	// heartbeat is the time between two notes that the process runs.
+	heartbeat = 100 * time.Millisecond
+	// pauseAfter is the time without a heartbeat that counts as a pause of the
+	// process. A core with a usage cap pauses for less than a heartbeat.
+	pauseAfter = 400 * time.Millisecond
+)
+
+// beat notes at intervals that the process runs.
+func (s *Server) beat() error {
+	ticker := time.NewTicker(heartbeat)
+	defer ticker.Stop()
+	for {
+		s.running.Store(int64(s.knowledge.Now()))
+		select {
+		case <-s.tomb.Dying():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// notePause looks for a pause of the process before a packet is handled. Packets may
+// have waited in the socket meanwhile.
+func (s *Server) notePause(now time.Duration) {
+	last := s.running.Load()
+	if now-time.Duration(last) < pauseAfter || !s.running.CompareAndSwap(last, int64(now)) {
+		return
+	}
+	view, fresh := s.knowledge.Current(now)
+	s.flows.Paused(view, now)
+	s.observer.paused(now-time.Duration(last), fresh)
+}
+
 func (s *Server) forward(buffer, data []byte, action steering.Action) {
 	endpoint := action.Member.Endpoint()
 	s.codec.SetLabel(data, action.Label)
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -51,6 +51,7 @@
 	RefusedEndpointLimit Code = 1202
 	RefusedRateLimit     Code = 1203
 	RefusedTooLate       Code = 1204
+	RefusedOverload      Code = 1205
 	DroppedFirstData     Code = 1210
 	DroppedNoTables      Code = 1211
 	DroppedLateCopy      Code = 1212
