--- a/binaries/burdock-relayd/main.go
+++ b/binaries/burdock-relayd/main.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"burdockrelay.example/burdockrelay/internal/observe"
@@ -95,7 +96,8 @@
 		return err
 	}
 	defer flushTraces(tracer, logger)
-	instance, err := relayd.Start(loaded, adapter(loaded, logger), logger, tracer)
+	registry := observe.NewRegistry()
+	instance, err := relayd.Start(loaded, adapter(loaded, registry, logger), logger, registry, tracer)
 	if err != nil {
 		logger.Error("start_failed", zap.Error(err))
 		return err
@@ -130,8 +132,8 @@
 	return instance.Stop()
 }
 
-func adapter(loaded *settings.Relay, logger *zap.Logger) relayd.Adapter {
-	store := platform.NewStore(loaded.Store)
+func adapter(loaded *settings.Relay, registry prometheus.Registerer, logger *zap.Logger) relayd.Adapter {
+	store := platform.NewStore(loaded.Store, registry)
 	return relayd.Adapter{
 		Codec:   platform.PacketCodec{},
 		Store:   store,
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -7,7 +7,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 
 	"burdockrelay.example/burdockrelay/internal/objectstore"
@@ -40,8 +39,6 @@
 	registerDelay = 300 * time.Millisecond
 	// registerTimeout bounds one call.
 	registerTimeout = 2 * time.Second
-	// registerMaxInterval bounds the time between tries while the store is away.
-	registerMaxInterval = 3 * time.Second
 )
 
 // Run registers the instance and reads the others once, again until it succeeds.
@@ -51,19 +48,15 @@
 	case <-ctx.Done():
 		return nil
 	}
-	interval := backoff.NewExponentialBackOff()
-	interval.MaxInterval = registerMaxInterval
-	// The tries end with success or with the context.
-	_, _ = backoff.Retry(ctx, func() (struct{}, error) {
+	objectstore.Persist(ctx, func() error {
 		err := r.register(ctx)
 		if err == nil && r.Peers.Count() == 0 {
 			err = r.list(ctx)
 		}
-		if err != nil {
-			r.Logger.Info("registration_failed", zap.Error(err))
-		}
-		return struct{}{}, err
-	}, backoff.WithBackOff(interval), backoff.WithMaxElapsedTime(0))
+		return err
+	}, func(err error) {
+		r.Logger.Info("registration_failed", zap.Error(err))
+	})
 	return nil
 }
 
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,10 +19,15 @@
 )
 
 func serve(t *testing.T, handler http.HandlerFunc) (*Client, *httptest.Server) {
+	t.Helper()
+	return serveCounted(t, handler, prometheus.NewRegistry())
+}
+
+func serveCounted(t *testing.T, handler http.HandlerFunc, registry *prometheus.Registry) (*Client, *httptest.Server) {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	return NewClient(server.URL, prometheus.NewRegistry()), server
+	return NewClient(server.URL, registry), server
 }
 
 func wantCode(t *testing.T, err error, want resultcode.Code) {
@@ -35,19 +41,26 @@
 // calls that are not counted.
 func TestReadsAreRetriedAndCounted(t *testing.T) {
 	var calls atomic.Int32
-	client, _ := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+	registry := prometheus.NewRegistry()
+	client, _ := serveCounted(t, func(w http.ResponseWriter, _ *http.Request) {
 		if calls.Add(1) < 3 {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
 		fmt.Fprint(w, `{"metadata":{"name":"current","resourceVersion":"7"},"spec":{}}`)
-	})
+	}, registry)
 	object, err := client.Get(context.Background(), Pointers, "current")
 	if err != nil || object.Metadata.ResourceVersion != "7" {
 		t.Fatalf("got %+v, %v", object, err)
 	}
-	if n := testutil.ToFloat64(client.calls.WithLabelValues("get", Pointers, "503")); n != 2 {
-		t.Errorf("%v failed calls counted, want 2", n)
+	const counted = `
+# HELP burdock_platform_calls_total Calls of the object API by verb, collection and HTTP status (0: no answer).
+# TYPE burdock_platform_calls_total counter
+burdock_platform_calls_total{collection="pointers",status="200",verb="get"} 1
+burdock_platform_calls_total{collection="pointers",status="503",verb="get"} 2
+`
+	if err := testutil.GatherAndCompare(registry, strings.NewReader(counted), "burdock_platform_calls_total"); err != nil {
+		t.Error(err)
 	}
 }
 
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -4,22 +4,15 @@
 	"bufio"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/url"
 	"time"
 
+	"burdockrelay.example/burdockrelay/internal/objectstore"
 	"burdockrelay.example/burdockrelay/internal/resultcode"
 )
 
-// notSent reports whether the request failed before any byte left.
-func notSent(err error) bool {
-	var operation *net.OpError
-	return errors.As(err, &operation) && operation.Op == "dial"
-}
-
 const (
 	// watchTimeout ends a watch without events, so that a watch on a dead
 	// connection is noticed.
@@ -43,32 +36,9 @@
 // Watch follows a collection until the context ends. It resumes at the last
 // resource version and lists again when the platform no longer has it.
 func (c *Client) Watch(ctx context.Context, collection string, handler Handler) {
-	backOff := NewBackOff()
-	version := ""
-	for ctx.Err() == nil {
-		next, err := c.follow(ctx, collection, version, handler)
-		version = next
-		if err == nil {
-			backOff.Reset()
-			continue
-		}
-		if code, _ := resultcode.Of(err); code == resultcode.PlatformExpired {
-			version = ""
-		}
-		if ctx.Err() == nil {
-			handler.Failed(err)
-		}
-		pause(ctx, backOff.NextBackOff())
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	objectstore.Follow(ctx, func(version string) (string, error) {
+		return c.follow(ctx, collection, version, handler)
+	}, handler.Failed)
 }
 
 func (c *Client) follow(ctx context.Context, collection, version string, handler Handler) (string, error) {
@@ -84,26 +54,19 @@
 }
 
 func (c *Client) stream(ctx context.Context, collection, version string, handler Handler) (string, error) {
-	if err := c.limiter.Wait(ctx); err != nil {
-		return version, err
-	}
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout+watchSlack)
 	defer cancel()
 	query := url.Values{}
 	query.Set("watch", "1")
 	query.Set("resourceVersion", version)
 	query.Set("timeoutSeconds", fmt.Sprint(int(watchTimeout.Seconds())))
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.target(collection, "", query), nil)
+	response, err := c.caller.Open(ctx, &objectstore.Call{
+		Method: http.MethodGet, Verb: "watch", Kind: collection, Target: c.target(collection, "", query),
+	})
 	if err != nil {
 		return version, err
 	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		c.calls.WithLabelValues("watch", collection, "0").Inc()
-		return version, lost(http.MethodGet, err)
-	}
 	defer response.Body.Close()
-	c.calls.WithLabelValues("watch", collection, fmt.Sprint(response.StatusCode)).Inc()
 	if response.StatusCode != http.StatusOK {
 		return version, failure(http.MethodGet, response.StatusCode, nil)
 	}
@@ -125,7 +88,7 @@
 		version = next
 	}
 	if err := scanner.Err(); err != nil {
-		return version, lost(http.MethodGet, err)
+		return version, objectstore.Lost(http.MethodGet, err)
 	}
 	return version, nil
 }
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -83,8 +83,8 @@
 	return min(s.ApplyDeadline, s.DrainDeadline)
 }
 
-// Start opens the sockets and begins to serve.
-func Start(loaded *settings.Relay, adapter Adapter, logger *zap.Logger, tracer trace.Tracer) (*Instance, error) {
+// Start opens the sockets and begins to serve. The registry holds the metrics.
+func Start(loaded *settings.Relay, adapter Adapter, logger *zap.Logger, registry *prometheus.Registry, tracer trace.Tracer) (*Instance, error) {
 	if loaded.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(loaded.MemoryMB) * (1 << 20)))
 	}
@@ -93,7 +93,6 @@
 	i.knowledge = discovery.NewKnowledge(loaded.DataCentre, loaded.FlowLifetime, bound(loaded), bootTime)
 	self := discovery.Peer{Name: loaded.Instance, Address: loaded.PeerListen}
 	peers := discovery.NewPeers(self, seedAddresses(loaded))
-	registry := observe.NewRegistry()
 	metrics := discovery.NewMetrics(registry, i.knowledge, peers)
 	i.syncer = discovery.NewSyncer(loaded.Instance, bound(loaded), i.knowledge, peers, adapter.Source, metrics, logger)
 	checks := prober.New(ctx, adapter.Checker, i.knowledge, logger, registry)
--- a/standins/estate/discovery_test.go
+++ b/standins/estate/discovery_test.go
@@ -51,7 +51,7 @@
 	}
 	self := discovery.Peer{Name: name, Address: n.address}
 	n.peers = discovery.NewPeers(self, addresses)
-	client := platform.NewStore(netip.MustParseAddrPort(door.Address()))
+	client := platform.NewStore(netip.MustParseAddrPort(door.Address()), nil)
 	source := &platform.Source{Store: client, Logger: zap.NewNop()}
 	metrics := discovery.NewMetrics(prometheus.NewRegistry(), n.knowledge, n.peers)
 	syncer := discovery.NewSyncer(name, bound, n.knowledge, n.peers, source, metrics, zap.NewNop())
--- a/standins/estate/relayd_test.go
+++ b/standins/estate/relayd_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.opentelemetry.io/otel/trace/noop"
 	"go.uber.org/zap"
 
@@ -117,13 +118,13 @@
 // run starts an instance with its settings.
 func (s *site) run(e *entry) {
 	s.t.Helper()
-	store := platform.NewStore(e.settings.Store)
+	store := platform.NewStore(e.settings.Store, nil)
 	adapter := relayd.Adapter{
 		Codec: platform.PacketCodec{}, Store: store,
 		Source:  &platform.Source{Store: store, Logger: zap.NewNop()},
 		Checker: platform.NewHealthChecker(),
 	}
-	instance, err := relayd.Start(e.settings, adapter, zap.NewNop(), noop.NewTracerProvider().Tracer(""))
+	instance, err := relayd.Start(e.settings, adapter, zap.NewNop(), prometheus.NewRegistry(), noop.NewTracerProvider().Tracer(""))
 	if err != nil {
 		s.t.Fatal(err)
 	}
