--- /dev/null
+++ b/internal/ingress/server_test.go
@@ -0,0 +1,272 @@
+package ingress_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/decision/label"
+	"burdockrelay.example/burdockrelay/internal/decision/selection"
+	"burdockrelay.example/burdockrelay/internal/decision/steering"
+	"burdockrelay.example/burdockrelay/internal/directory"
+	"burdockrelay.example/burdockrelay/internal/flowtrace"
+	"burdockrelay.example/burdockrelay/internal/ingress"
+	"burdockrelay.example/burdockrelay/platform"
+)
+
+const headSize = 31
+
+// knowledge is a fixed view with a clock that a test can move.
+type knowledge struct {
+	mu    sync.Mutex
+	view  *steering.View
+	begun time.Time
+	skip  time.Duration
+}
+
+func (k *knowledge) Now() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return time.Since(k.begun) + k.skip
+}
+
+func (k *knowledge) Current(time.Duration) (*steering.View, steering.Freshness) {
+	return k.view, steering.Freshness{Known: true, Settled: time.Minute}
+}
+
+// path is a server with one endpoint and one caller, each a socket.
+type path struct {
+	t         *testing.T
+	server    *ingress.Server
+	knowledge *knowledge
+	endpoint  *net.UDPConn
+	caller    *net.UDPConn
+	address   netip.AddrPort
+	logs      *observer.ObservedLogs
+	registry  *prometheus.Registry
+	spans     *tracetest.SpanRecorder
+}
+
+func listenOn(t *testing.T, ip string, port uint16) *net.UDPConn {
+	t.Helper()
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(netip.MustParseAddr(ip), port)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = socket.Close() })
+	return socket
+}
+
+func portOf(socket *net.UDPConn) uint16 { return socket.LocalAddr().(*net.UDPAddr).AddrPort().Port() }
+
+func start(t *testing.T) *path {
+	t.Helper()
+	p := &path{t: t, registry: prometheus.NewRegistry(), spans: tracetest.NewSpanRecorder()}
+	// The caller takes resets at the server's port of its own address.
+	p.caller = listenOn(t, "127.0.0.7", 0)
+	p.endpoint = listenOn(t, "127.0.0.8", 0)
+	p.address = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), portOf(p.caller))
+	pool := selection.NewPool("desk", "fukuoka")
+	endpoints := []directory.Endpoint{{
+		Name: "i-7f3a91c2", Number: 0x7f3a91c2, Service: "desk", DataCentre: "fukuoka", Slots: 2,
+		Address: p.endpoint.LocalAddr().(*net.UDPAddr).AddrPort(),
+	}}
+	members := pool.Update(endpoints, 0)
+	rules := &directory.Configuration{Version: 7, Rules: []directory.Rule{{
+		Address: common.ServiceAddress{Address: netip.MustParseAddr("198.18.0.1"), Port: 443, Protocol: common.ProtocolTCP},
+		Targets: []directory.Target{{Service: "desk", Weight: 1}},
+	}}}
+	known := []steering.Labelled{{Member: members[0], Holder: label.Holder{Number: 0x7f3a91c2, Live: true, Born: 1}}}
+	p.knowledge = &knowledge{
+		view:  steering.NewView(rules, known, func(string) *selection.Pool { return pool }),
+		begun: time.Now(),
+	}
+	core, logs := observer.New(zap.InfoLevel)
+	p.logs = logs
+	tracer := sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(p.spans)).Tracer("test")
+	watch := ingress.NewObserver(zap.New(core), p.registry, flowtrace.New(tracer, 1), func(*selection.Member) {})
+	server, err := ingress.Listen(p.address, platform.PacketCodec{}, p.knowledge, watch, 1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.server = server
+	server.Start()
+	t.Cleanup(func() {
+		if err := server.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	return p
+}
+
+// packet returns a caller's packet.
+func packet(flags byte, port, destinationPort uint16, echo, seq, ack uint32, data string) []byte {
+	head := make([]byte, headSize, headSize+len(data))
+	head[0] = flags
+	copy(head[1:], []byte{127, 0, 0, 7})
+	binary.BigEndian.PutUint16(head[5:], destinationPort)
+	binary.BigEndian.PutUint16(head[7:], port)
+	copy(head[9:], []byte{198, 18, 0, 1})
+	binary.BigEndian.PutUint32(head[13:], 0xabcdef01)
+	binary.BigEndian.PutUint32(head[17:], echo)
+	binary.BigEndian.PutUint32(head[21:], seq)
+	binary.BigEndian.PutUint32(head[25:], ack)
+	binary.BigEndian.PutUint16(head[29:], uint16(len(data)))
+	return append(head, data...)
+}
+
+func (p *path) send(data []byte) {
+	p.t.Helper()
+	if _, err := p.caller.WriteToUDPAddrPort(data, p.address); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func receive(t *testing.T, socket *net.UDPConn) []byte {
+	t.Helper()
+	buffer := make([]byte, 4096)
+	if err := socket.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	n, _, err := socket.ReadFromUDPAddrPort(buffer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return buffer[:n]
+}
+
+// Guards against packets that reach the endpoint changed in anything but the label,
+// without its identity, or without the label that later packets need.
+func TestPacketsReachTheEndpoint(t *testing.T) {
+	p := start(t)
+	p.send(packet(4, 40001, 443, 0, 100, 0, ""))
+	got := receive(t, p.endpoint)
+	if binary.BigEndian.Uint64(got) != 0x7f3a91c2 {
+		t.Errorf("envelope %x", got[:8])
+	}
+	flow := binary.BigEndian.Uint32(got[8+17:])
+	if want := packet(4, 40001, 443, flow, 100, 0, ""); flow == 0 || !bytes.Equal(got[8:], want) {
+		t.Errorf("packet %x, want %x", got[8:], want)
+	}
+	data := packet(16, 40001, 443, flow, 101, 5, "a request")
+	p.send(data)
+	if got := receive(t, p.endpoint); !bytes.Equal(got[8:], data) {
+		t.Errorf("packet %x, want %x", got[8:], data)
+	}
+}
+
+// Guards against an unknown address that is met with silence.
+func TestUnknownAddressIsRefused(t *testing.T) {
+	p := start(t)
+	p.send(packet(4, 40001, 444, 0, 100, 0, ""))
+	got := receive(t, p.caller)
+	if len(got) != headSize || got[0] != 2 || !bytes.Equal(got[1:5], []byte{198, 18, 0, 1}) {
+		t.Errorf("reset %x", got)
+	}
+}
+
+// Guards against a packet that cannot be decoded and stops the server.
+func TestBrokenPacketsAreCountedAndDropped(t *testing.T) {
+	p := start(t)
+	p.send([]byte("short"))
+	p.send(append(packet(4, 40001, 443, 0, 100, 0, ""), 1, 2, 3))
+	p.send(packet(4, 40001, 443, 0, 100, 0, ""))
+	receive(t, p.endpoint)
+	const counted = `
+# HELP burdock_packets_total Packets of callers by result code.
+# TYPE burdock_packets_total counter
+burdock_packets_total{code="1000"} 1
+burdock_packets_total{code="1001"} 1
+burdock_packets_total{code="1020"} 1
+`
+	if err := testutil.GatherAndCompare(p.registry, strings.NewReader(counted), "burdock_packets_total"); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a decision that leaves no line, or one without what it was decided
+// from, and against a first packet without its spans.
+func TestDecisionsAreLoggedAndTraced(t *testing.T) {
+	p := start(t)
+	p.send(packet(4, 40001, 443, 0, 100, 0, ""))
+	receive(t, p.endpoint)
+	p.send(packet(4, 40002, 444, 0, 100, 0, ""))
+	receive(t, p.caller)
+	opened := p.logs.FilterMessage("flow_opened").All()
+	if len(opened) != 1 {
+		t.Fatalf("%d lines for an opened flow", len(opened))
+	}
+	fields := opened[0].ContextMap()
+	for name, want := range map[string]any{
+		"flow": "127.0.0.7:40001/100", "to": "198.18.0.1:443", "endpoint": "i-7f3a91c2",
+		"service": "desk", "version": uint64(7), "result_code": uint32(1020), "age_ms": int64(0),
+	} {
+		if got := fields[name]; fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Errorf("%s is %v, want %v", name, got, want)
+		}
+	}
+	if refused := p.logs.FilterMessage("flow_refused").Len(); refused != 1 {
+		t.Errorf("%d lines for a refused flow", refused)
+	}
+	names := map[string]int{}
+	for _, span := range p.spans.Ended() {
+		names[span.Name()]++
+	}
+	if names["ingress.receive"] != 2 || names["ingress.choose_endpoint"] != 1 {
+		t.Errorf("spans: %v", names)
+	}
+}
+
+// Guards against lines that grow with the load without bound, and against left out
+// ones that are not counted.
+func TestDecisionLinesAreBounded(t *testing.T) {
+	p := start(t)
+	const flows = 4000
+	for i := range flows {
+		p.send(packet(4, uint16(10_000+i), 444, 0, 100, 0, ""))
+		if i%50 == 49 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	time.Sleep(200 * time.Millisecond)
+	p.send(packet(4, 9999, 444, 0, 100, 0, ""))
+	time.Sleep(200 * time.Millisecond)
+	if lines := p.logs.FilterMessage("flow_refused").Len(); lines >= flows || lines == 0 {
+		t.Errorf("%d lines for %d refusals", lines, flows)
+	}
+	left := p.logs.FilterMessage("decisions_not_logged").All()
+	if len(left) == 0 {
+		t.Error("left out lines are not counted")
+	}
+}
+
+// Guards against a pause of the process that goes unnoticed.
+func TestPauseIsNoted(t *testing.T) {
+	p := start(t)
+	noted := func() int { return p.logs.FilterMessage("process_paused").Len() }
+	// The heartbeat may fall between the jump of the clock and the packet.
+	for try := uint16(0); try < 5 && noted() == 0; try++ {
+		p.knowledge.mu.Lock()
+		p.knowledge.skip += 3 * time.Second
+		p.knowledge.mu.Unlock()
+		p.send(packet(4, 40001+try, 443, 0, 100, 0, ""))
+		receive(t, p.endpoint)
+	}
+	if noted() != 1 {
+		t.Errorf("%d pauses noted", noted())
+	}
+}
--- /dev/null
+++ b/internal/relayd/relayd_test.go
@@ -0,0 +1,192 @@
+package relayd
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/trace/noop"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"burdockrelay.example/burdockrelay/internal/settings"
+	"burdockrelay.example/burdockrelay/platform"
+)
+
+// nextIP numbers the loopback addresses of the tests' instances.
+var nextIP atomic.Int32
+
+// settingsText returns a settings file of an instance without a store.
+func settingsText(level string) string {
+	ip := fmt.Sprintf("127.0.5.%d", nextIP.Add(1))
+	return fmt.Sprintf(`instance: entry-1
+data_centre: fukuoka
+log_level: %s
+packet_listen: %s:18172
+ready_listen: %s:18167
+peer_listen: %s:17720
+metrics_listen: %s:19464
+store: 127.0.0.1:1
+apply_deadline: 3000ms
+drain_deadline: 3000.0ms
+stop_deadline: 1s
+memory_mb: 284
+`, level, ip, ip, ip, ip)
+}
+
+// startFrom starts an instance with the content of a settings file.
+func startFrom(t *testing.T, content string, logger *zap.Logger) *Instance {
+	t.Helper()
+	loaded, err := settings.Decode[settings.Relay]("test", []byte(content))
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := platform.NewStore(loaded.Store, nil)
+	adapter := Adapter{
+		Codec: platform.PacketCodec{}, Store: store, Source: &platform.Source{Store: store, Logger: logger},
+		Checker: platform.NewHealthChecker(),
+	}
+	i, err := Start(loaded, adapter, logger, prometheus.NewRegistry(), noop.NewTracerProvider().Tracer(""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = i.Kill() })
+	return i
+}
+
+func status(t *testing.T, address netip.AddrPort, path string) int {
+	t.Helper()
+	response, err := http.Get(fmt.Sprintf("http://%s/%s", address, path))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	return response.StatusCode
+}
+
+// Guards against an instance that is sent packets before it has a configuration.
+func TestNotReadyWithoutConfiguration(t *testing.T) {
+	i := startFrom(t, settingsText("info"), zap.NewNop())
+	if got := status(t, i.settings.ReadyListen, "readiness"); got != http.StatusServiceUnavailable {
+		t.Errorf("status %d", got)
+	}
+	if got := status(t, i.settings.MetricsListen, "metrics"); got != http.StatusOK {
+		t.Errorf("metrics have status %d", got)
+	}
+}
+
+// Guards against an instance that does not serve because its metrics cannot.
+func TestMetricsPortTaken(t *testing.T) {
+	content := settingsText("info")
+	loaded, err := settings.Decode[settings.Relay]("test", []byte(content))
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", loaded.MetricsListen.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	core, logs := observer.New(zap.InfoLevel)
+	startFrom(t, content, zap.New(core))
+	if logs.FilterMessage("metrics_unavailable").Len() != 1 {
+		t.Error("nothing tells of the missing metrics")
+	}
+}
+
+// Guards against a stop that waits for probes that do not come.
+func TestStopEndsByItsDeadline(t *testing.T) {
+	i := startFrom(t, settingsText("info"), zap.NewNop())
+	began := time.Now()
+	if err := i.Stop(); err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("stopping took %v", took)
+	}
+}
+
+// Guards against a stop before the routers have noticed, and against one that takes
+// longer than they need.
+func TestStopWaitsForTwoProbes(t *testing.T) {
+	i := startFrom(t, settingsText("info"), zap.NewNop())
+	i.settings.StopDeadline = 10 * time.Second
+	done := make(chan error, 1)
+	go func() { done <- i.Stop() }()
+	time.Sleep(100 * time.Millisecond)
+	if got := status(t, i.settings.ReadyListen, "readiness"); got != http.StatusServiceUnavailable {
+		t.Errorf("status %d", got)
+	}
+	select {
+	case err := <-done:
+		t.Fatal("stopped after one probe", err)
+	case <-time.After(300 * time.Millisecond):
+	}
+	status(t, i.settings.ReadyListen, "readiness")
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("not stopped after two probes")
+	}
+}
+
+// Guards against settings that change without a signal and are not seen, a signal
+// that ends the process, and a broken file that replaces a good one.
+func TestReload(t *testing.T) {
+	content := settingsText("info")
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(content)
+	core, logs := observer.New(zap.InfoLevel)
+	logger := zap.New(core)
+	i := startFrom(t, content, logger)
+	level := zap.NewAtomicLevel()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal, 1)
+	r := &Reloader{Path: path, Instance: i, Level: level, Logger: logger}
+	go r.Run(ctx, signals)
+	lines := func(event string, count int) func() bool {
+		return func() bool { return logs.FilterMessage(event).Len() == count }
+	}
+	time.Sleep(50 * time.Millisecond)
+	write(content + "instance: twice\n")
+	signals <- os.Interrupt
+	within(t, "refusal of a broken file", lines("settings_refused", 1))
+	write("log_level: debug\n" + content[:len("instance: entry-1\ndata_centre: fukuoka\n")] + content[len("instance: entry-1\ndata_centre: fukuoka\nlog_level: info\n"):])
+	within(t, "settings that change without a signal", lines("settings_reloaded", 1))
+	if level.Level() != zap.DebugLevel {
+		t.Errorf("level %v", level.Level())
+	}
+	signals <- os.Interrupt
+	within(t, "a signal without a change", lines("reload_requested", 2))
+	if logs.FilterMessage("settings_reloaded").Len() != 1 {
+		t.Error("an unchanged file was reloaded")
+	}
+}
+
+func within(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Errorf("not in time: %s", what)
+}
--- a/standins/estate/discovery_test.go
+++ b/standins/estate/discovery_test.go
@@ -129,6 +129,7 @@
 // Guards against a change that is only learned from watches, while these hear
 // nothing and the history is dropped afterwards.
 func TestChangesAreKnownWhileWatchesHearNothing(t *testing.T) {
+	t.Parallel()
 	store := estateWith(3)
 	n := startNode(t, store, "entry-1")
 	within(t, bound, "first configuration", func() bool { return n.version() == 1 && n.endpoints() == 3 })
@@ -145,8 +146,10 @@
 // Guards against an instance that the store turns away, in any manner, and that does
 // not learn from the others.
 func TestInstanceTurnedAwayLearnsFromPeers(t *testing.T) {
+	t.Parallel()
 	for _, mode := range []estate.Mode{estate.Busy, estate.Many, estate.Reset, estate.Silent} {
 		t.Run(string(mode), func(t *testing.T) {
+			t.Parallel()
 			store := estateWith(2)
 			// Whichever is first in the order of readers, one case has it turned away.
 			first := startNode(t, store, "entry-1")
@@ -165,6 +168,7 @@
 
 // Guards against a connection to the store that has gone silent and is waited for.
 func TestSilentConnectionIsReplaced(t *testing.T) {
+	t.Parallel()
 	store := estateWith(2)
 	n := startNode(t, store, "entry-1")
 	within(t, bound, "start", func() bool { return n.version() == 1 })
@@ -178,6 +182,7 @@
 // Guards against an instance that waits for calls which a cut has swallowed while new
 // ones would be answered.
 func TestReadsGoOnAfterACut(t *testing.T) {
+	t.Parallel()
 	store := estateWith(2)
 	n := startNode(t, store, "entry-1")
 	within(t, bound, "start", func() bool { return n.version() == 1 })
@@ -192,6 +197,7 @@
 
 // Guards against a slow store that is given up at each call.
 func TestSlowStoreIsWaitedFor(t *testing.T) {
+	t.Parallel()
 	store := estateWith(2)
 	n := startNode(t, store, "entry-1")
 	within(t, bound, "start", func() bool { return n.version() == 1 })
@@ -203,6 +209,7 @@
 // Guards against an instance without routes and endpoints because it starts while
 // the store is away, and against an older configuration after its return.
 func TestStartWhileTheStoreIsAway(t *testing.T) {
+	t.Parallel()
 	store := estateWith(2)
 	old := startNode(t, store, "entry-1")
 	within(t, bound, "start", func() bool { return old.endpoints() == 2 })
@@ -218,6 +225,7 @@
 // Guards against endpoints that are given up when an outage of the store has let
 // their entries expire, and against ones that are kept although they do not return.
 func TestEntriesThatExpireInAnOutage(t *testing.T) {
+	t.Parallel()
 	store := estateWith(3)
 	n := startNode(t, store, "entry-1")
 	within(t, bound, "start", func() bool { return n.endpoints() == 3 })
@@ -238,6 +246,7 @@
 // Guards against an endpoint that leaves while all is well and is kept as if there
 // had been an outage.
 func TestEntryThatIsRemovedIsGoneAtOnce(t *testing.T) {
+	t.Parallel()
 	store := estateWith(3)
 	n := startNode(t, store, "entry-1")
 	within(t, bound, "start", func() bool { return n.endpoints() == 3 })
@@ -249,6 +258,7 @@
 // Guards against instances that do not find each other when the answer to their
 // registration is lost and it is done later.
 func TestRegistrationWithLostAnswer(t *testing.T) {
+	t.Parallel()
 	store := estateWith(1)
 	first := startNode(t, store, "entry-1")
 	first.door.Set(estate.Faults{LoseWrites: true, LateBy: 300 * time.Millisecond})
@@ -261,6 +271,7 @@
 
 // Guards against an entry of another writer that takes the others with it.
 func TestForeignEntriesAreLeftOut(t *testing.T) {
+	t.Parallel()
 	store := estateWith(3)
 	store.Put("servers", "i-99", []byte(`{"service":7}`))
 	store.Put("servers", "note", []byte(`"text"`))
@@ -274,6 +285,7 @@
 
 // Guards against calls to the store that grow with the instances.
 func TestFollowersDoNotReadTheStore(t *testing.T) {
+	t.Parallel()
 	store := estateWith(3)
 	nodes := []*node{startNode(t, store, "entry-1")}
 	for i := range 5 {
--- a/standins/estate/relayd_test.go
+++ b/standins/estate/relayd_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,9 +26,12 @@
 	operator *estate.Operator
 	router   *estate.Router
 	port     uint16
-	entries  map[string]*entry
-	tally    estate.Tally
-	stop     chan struct{}
+	// net is the second byte of the site's loopback addresses, so that sites run
+	// beside each other.
+	net     byte
+	entries map[string]*entry
+	tally   estate.Tally
+	stop    chan struct{}
 }
 
 type entry struct {
@@ -36,6 +40,14 @@
 	settings *settings.Relay
 }
 
+// sites counts the sites of this process.
+var sites atomic.Int32
+
+// ip returns a loopback address of the site.
+func (s *site) ip(third, fourth int) string {
+	return fmt.Sprintf("127.%d.%d.%d", s.net, third, fourth)
+}
+
 // freePort returns a port that is free for packets on several loopback addresses.
 func freePort(t *testing.T) uint16 {
 	t.Helper()
@@ -51,7 +63,7 @@
 	t.Helper()
 	s := &site{
 		t: t, store: estate.NewStore(), ledger: estate.NewLedger(3 * time.Second), router: estate.NewRouter(),
-		port: freePort(t), entries: map[string]*entry{}, stop: make(chan struct{}),
+		port: freePort(t), net: byte(10 + sites.Add(1)), entries: map[string]*entry{}, stop: make(chan struct{}),
 	}
 	t.Cleanup(s.router.Close)
 	s.operator = estate.NewOperator(s.store, s.ledger)
@@ -63,7 +75,7 @@
 		s.endpoint(100+i, "store")
 	}
 	for i := range instances {
-		s.start(fmt.Sprintf("entry-%d", i+1), fmt.Sprintf("127.0.1.%d", i+1))
+		s.start(fmt.Sprintf("entry-%d", i+1), s.ip(1, i+1))
 	}
 	return s
 }
@@ -81,7 +93,7 @@
 	s.t.Helper()
 	e, err := estate.StartEndpoint(estate.EndpointSettings{
 		Name: fmt.Sprintf("i-%x", id*7919), Service: service, Zone: "fukuoka",
-		Address: netip.MustParseAddrPort(fmt.Sprintf("127.0.2.%d:%d", id, s.port)), CallerPort: s.port,
+		Address: netip.AddrPortFrom(netip.MustParseAddr(s.ip(2, id)), s.port), CallerPort: s.port,
 	}, s.store, s.ledger)
 	if err != nil {
 		s.t.Fatal(err)
@@ -135,7 +147,7 @@
 func (s *site) call() {
 	s.t.Helper()
 	within(s.t, 5*time.Second, "instances in rotation", func() bool { return s.router.InRotation() == len(s.entries) })
-	host, err := estate.OpenHost(netip.MustParseAddr("127.0.3.1"), s.port, s.router, s.ledger)
+	host, err := estate.OpenHost(netip.MustParseAddr(s.ip(3, 1)), s.port, s.router, s.ledger)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -166,6 +178,7 @@
 // Guards against a path from callers to endpoints that loses or changes anything on a
 // calm day.
 func TestCalmDay(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 3, 4)
 	s.call()
 	time.Sleep(3 * time.Second)
@@ -175,6 +188,7 @@
 // Guards against requests that are lost when instances are stopped and started in
 // turn.
 func TestRollingRestart(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 3, 4)
 	s.call()
 	for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
@@ -191,6 +205,7 @@
 // Guards against requests that are lost when endpoints are replaced one after the
 // other, and against flows on an endpoint that has drained long enough.
 func TestReplacedEndpoints(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 2, 0)
 	old := []*estate.Endpoint{s.endpoint(1, "desk"), s.endpoint(2, "desk"), s.endpoint(3, "desk")}
 	time.Sleep(time.Second)
@@ -207,6 +222,7 @@
 
 // Guards against callers who wait for an endpoint that has died silently.
 func TestSilentEndpoint(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 2, 5)
 	dead := s.endpoint(50, "desk")
 	time.Sleep(time.Second)
@@ -221,6 +237,7 @@
 // Guards against an instance without a store that serves nothing, one that refuses
 // what it could serve, and rules that are not in force in time.
 func TestStoreAway(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 3, 4)
 	s.call()
 	time.Sleep(time.Second)
