--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -104,15 +104,16 @@
 	entry := newFakeEntry(c.t)
 	group := cmp.Or(c.groups[i], "fukuoka")
 	s := &settings.Control{
-		Instance:   fmt.Sprintf("entry-%d", i),
-		DataCentre: group,
-		Group:      group,
-		Places:     []string{"fukuoka"},
-		Address:    netip.MustParseAddr(addressOf(c.first + i)),
-		EntryPort:  6081,
-		PeerPort:   c.port,
-		EntryAPI:   netip.MustParseAddrPort(entry.server.Listener.Addr().String()),
-		Platform:   cmp.Or(c.fronts[group], c.platform.server.URL),
+		Member: settings.Member{
+			Daemon:    settings.Daemon{Instance: fmt.Sprintf("entry-%d", i), DataCentre: group},
+			Group:     group,
+			Address:   netip.MustParseAddr(addressOf(c.first + i)),
+			EntryPort: 6081,
+		},
+		Places:   []string{"fukuoka"},
+		PeerPort: c.port,
+		EntryAPI: netip.MustParseAddrPort(entry.server.Listener.Addr().String()),
+		Platform: cmp.Or(c.fronts[group], c.platform.server.URL),
 	}
 	logger := zap.NewNop()
 	if os.Getenv("BURDOCK_TEST_LOG") != "" {
--- a/internal/discovery/convert.go
+++ b/internal/discovery/convert.go
@@ -17,14 +17,14 @@
 )
 
 func addressToWire(address netip.Addr) uint32 {
-	bytes := address.As4()
-	return binary.BigEndian.Uint32(bytes[:])
+	octets := address.As4()
+	return binary.BigEndian.Uint32(octets[:])
 }
 
 func addressFromWire(address uint32) netip.Addr {
-	var bytes [4]byte
-	binary.BigEndian.PutUint32(bytes[:], address)
-	return netip.AddrFrom4(bytes)
+	var octets [4]byte
+	binary.BigEndian.PutUint32(octets[:], address)
+	return netip.AddrFrom4(octets)
 }
 
 // maxConfigurationBytes bounds a configuration of a peer.
@@ -81,7 +81,7 @@
 	}
 	for _, service := range c.Services {
 		wire.Services = append(wire.Services, &syncpb.Service{
-			Name: service.Name, HealthPath: service.HealthPath, MaxFlows: service.MaxFlows,
+			Name: service.Name, CheckPath: service.HealthPath, MaxFlows: service.MaxFlows,
 		})
 	}
 	return wire
@@ -109,7 +109,7 @@
 	}
 	for _, service := range wire.Services {
 		c.Services = append(c.Services, directory.Service{
-			Name: service.Name, HealthPath: service.HealthPath, MaxFlows: service.MaxFlows,
+			Name: service.Name, HealthPath: service.CheckPath, MaxFlows: service.MaxFlows,
 		})
 	}
 	return c
--- a/internal/discovery/metrics.go
+++ b/internal/discovery/metrics.go
@@ -39,7 +39,7 @@
 			_, fresh := knowledge.Current(now)
 			return fresh.Age.Seconds()
 		}),
-		gauge("burdock_store_revision", "Revision of the store that the instance knows.", func() float64 {
+		gauge("burdock_knowledge_revision", "Revision of the store that the instance knows.", func() float64 {
 			at, _ := knowledge.At()
 			return float64(at)
 		}),
--- a/internal/relayd/relayd_test.go
+++ b/internal/relayd/relayd_test.go
@@ -25,11 +25,11 @@
 var nextIP atomic.Int32
 
 // settingsText returns a settings file of an instance without a store.
-func settingsText(level string) string {
+func settingsText() string {
 	ip := fmt.Sprintf("127.0.5.%d", nextIP.Add(1))
 	return fmt.Sprintf(`instance: entry-1
 data_centre: fukuoka
-log_level: %s
+log_level: info
 packet_listen: %s:18172
 ready_listen: %s:18167
 peer_listen: %s:17720
@@ -39,7 +39,7 @@
 drain_deadline: 3000.0ms
 stop_deadline: 1s
 memory_mb: 284
-`, level, ip, ip, ip, ip)
+`, ip, ip, ip, ip)
 }
 
 // startFrom starts an instance with the content of a settings file.
@@ -74,7 +74,7 @@
 
 // Guards against an instance that is sent packets before it has a configuration.
 func TestNotReadyWithoutConfiguration(t *testing.T) {
-	i := startFrom(t, settingsText("info"), zap.NewNop())
+	i := startFrom(t, settingsText(), zap.NewNop())
 	if got := status(t, i.settings.ReadyListen, "readiness"); got != http.StatusServiceUnavailable {
 		t.Errorf("status %d", got)
 	}
@@ -85,7 +85,7 @@
 
 // Guards against an instance that does not serve because its metrics cannot.
 func TestMetricsPortTaken(t *testing.T) {
-	content := settingsText("info")
+	content := settingsText()
 	loaded, err := settings.Decode[settings.Relay]("test", []byte(content))
 	if err != nil {
 		t.Fatal(err)
@@ -104,7 +104,7 @@
 
 // Guards against a stop that waits for probes that do not come.
 func TestStopEndsByItsDeadline(t *testing.T) {
-	i := startFrom(t, settingsText("info"), zap.NewNop())
+	i := startFrom(t, settingsText(), zap.NewNop())
 	began := time.Now()
 	if err := i.Stop(); err != nil {
 		t.Error(err)
@@ -117,7 +117,7 @@
 // Guards against a stop before the routers have noticed, and against one that takes
 // longer than they need.
 func TestStopWaitsForTwoProbes(t *testing.T) {
-	i := startFrom(t, settingsText("info"), zap.NewNop())
+	i := startFrom(t, settingsText(), zap.NewNop())
 	i.settings.StopDeadline = 10 * time.Second
 	done := make(chan error, 1)
 	go func() { done <- i.Stop() }()
@@ -144,7 +144,7 @@
 // Guards against settings that change without a signal and are not seen, a signal
 // that ends the process, and a broken file that replaces a good one.
 func TestReload(t *testing.T) {
-	content := settingsText("info")
+	content := settingsText()
 	path := filepath.Join(t.TempDir(), "settings.yaml")
 	write := func(text string) {
 		t.Helper()
--- a/internal/settings/daemons.go
+++ b/internal/settings/daemons.go
@@ -25,19 +25,52 @@
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
 
-// Entry holds the settings of burdock-entryd.
-type Entry struct {
+// Daemon holds what the settings of all daemons have in common.
+type Daemon struct {
 	Instance   string `yaml:"instance" required:"true"`
 	DataCentre string `yaml:"data_centre" required:"true"`
+	LogLevel   string `yaml:"log_level" oneof:"debug info warn error"`
+
+	Trace observe.TraceSettings `yaml:"trace"`
+	// MetricsListen is the zero value when metrics are off.
+	MetricsListen netip.AddrPort `yaml:"metrics_listen"`
+}
+
+func (d *Daemon) setDefaults() {
+	d.LogLevel = "info"
+}
+
+func (d *Daemon) finish(report reporter, position strictyaml.Position) {
+	checkTrace(report, position, d.Trace)
+}
+
+// Member holds what the daemons of an entry instance in a group have in common.
+type Member struct {
+	Daemon `yaml:",inline"`
 	// Group defaults to the data centre.
 	Group     string     `yaml:"group"`
 	Address   netip.Addr `yaml:"address" required:"true"`
 	EntryPort uint16     `yaml:"entry_port" min:"1" max:"65535"`
-	LogLevel  string     `yaml:"log_level" oneof:"debug info warn error"`
+}
 
-	Trace observe.TraceSettings `yaml:"trace"`
-	// MetricsListen is the zero value when metrics are off.
-	MetricsListen netip.AddrPort `yaml:"metrics_listen"`
+func (m *Member) setDefaults() {
+	m.Daemon.setDefaults()
+	m.EntryPort = DefaultEntryPort
+}
+
+func (m *Member) finish(report reporter, position strictyaml.Position) {
+	if m.Group == "" {
+		m.Group = m.DataCentre
+	}
+	m.Daemon.finish(report, position)
+	checkName(report, position, "instance", m.Instance)
+	checkName(report, position, "data_centre", m.DataCentre)
+	checkName(report, position, "group", m.Group)
+}
+
+// Entry holds the settings of burdock-entryd.
+type Entry struct {
+	Member `yaml:",inline"`
 	// APIListen is the loopback address of the Entry service.
 	APIListen netip.AddrPort `yaml:"api_listen" required:"true"`
 	// FabricReturn is where resets for refused callers are sent.
@@ -48,17 +81,7 @@
 
 // Control holds the settings of burdock-controld.
 type Control struct {
-	Instance   string `yaml:"instance" required:"true"`
-	DataCentre string `yaml:"data_centre" required:"true"`
-	// Group defaults to the data centre.
-	Group     string     `yaml:"group"`
-	Address   netip.Addr `yaml:"address" required:"true"`
-	EntryPort uint16     `yaml:"entry_port" min:"1" max:"65535"`
-	LogLevel  string     `yaml:"log_level" oneof:"debug info warn error"`
-
-	Trace observe.TraceSettings `yaml:"trace"`
-	// MetricsListen is the zero value when metrics are off.
-	MetricsListen netip.AddrPort `yaml:"metrics_listen"`
+	Member `yaml:",inline"`
 	// EntryAPI is the loopback address of entryd's Entry service.
 	EntryAPI netip.AddrPort `yaml:"entry_api" required:"true"`
 	// Places that the group covers, by name or data centre; the default is the
@@ -83,19 +106,12 @@
 }
 
 func (e *Entry) setDefaults() {
-	e.EntryPort = DefaultEntryPort
-	e.LogLevel = "info"
+	e.Member.setDefaults()
 	e.MaxFlows = defaultMaxFlows
 }
 
 func (e *Entry) finish(report reporter) {
-	if e.Group == "" {
-		e.Group = e.DataCentre
-	}
-	checkName(report, e.Position, "instance", e.Instance)
-	checkName(report, e.Position, "data_centre", e.DataCentre)
-	checkName(report, e.Position, "group", e.Group)
-	checkTrace(report, e.Position, e.Trace)
+	e.Member.finish(report, e.Position)
 	if !e.APIListen.Addr().IsLoopback() {
 		report(e.Position, "api_listen", resultcode.SettingsInsecure, "use a loopback address, such as 127.0.0.1:7081",
 			"api_listen: %s is not a loopback address and the Entry service has no authentication", e.APIListen)
@@ -103,25 +119,18 @@
 }
 
 func (c *Control) setDefaults() {
-	c.EntryPort = DefaultEntryPort
+	c.Member.setDefaults()
 	c.PeerPort = DefaultPeerPort
-	c.LogLevel = "info"
 }
 
 func (c *Control) finish(report reporter) {
-	if c.Group == "" {
-		c.Group = c.DataCentre
-	}
+	c.Member.finish(report, c.Position)
 	if len(c.Places) == 0 {
 		c.Places = []string{c.DataCentre}
 	}
-	checkName(report, c.Position, "instance", c.Instance)
-	checkName(report, c.Position, "data_centre", c.DataCentre)
-	checkName(report, c.Position, "group", c.Group)
 	for _, place := range c.Places {
 		checkName(report, c.Position, "places", place)
 	}
-	checkTrace(report, c.Position, c.Trace)
 	if !c.EntryAPI.Addr().IsLoopback() {
 		report(c.Position, "entry_api", resultcode.SettingsInsecure, "use the loopback address of api_listen in the settings of burdock-entryd",
 			"entry_api: %s is not a loopback address", c.EntryAPI)
--- a/internal/settings/documentation_test.go
+++ b/internal/settings/documentation_test.go
@@ -16,7 +16,7 @@
 		t.Fatal(err)
 	}
 	for _, object := range []any{
-		Entry{}, Control{}, Client{}, config.Place{}, config.Service{}, config.BackendSet{}, config.Rule{},
+		Entry{}, Control{}, Relay{}, Client{}, config.Place{}, config.Service{}, config.BackendSet{}, config.Rule{},
 	} {
 		checkFields(t, reflect.TypeOf(object), string(content))
 	}
@@ -27,7 +27,11 @@
 	for i := range object.NumField() {
 		field := object.Field(i)
 		name := field.Tag.Get("yaml")
-		if name == "" || name == "-" {
+		if name == "-" || name == "" {
+			continue
+		}
+		if name == ",inline" {
+			checkFields(t, field.Type, content)
 			continue
 		}
 		if !strings.Contains(content, "| `"+name+"` |") {
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -2,21 +2,16 @@
 
 import (
 	"net/netip"
+	"strings"
 	"time"
 
-	"burdockrelay.example/burdockrelay/internal/observe"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
 	"burdockrelay.example/burdockrelay/internal/strictyaml"
 )
 
 // Relay holds the settings of burdock-relayd.
 type Relay struct {
-	Instance   string `yaml:"instance" required:"true"`
-	DataCentre string `yaml:"data_centre" required:"true"`
-	LogLevel   string `yaml:"log_level" oneof:"debug info warn error"`
-
-	Trace observe.TraceSettings `yaml:"trace"`
-	// MetricsListen is the zero value when metrics are off.
-	MetricsListen netip.AddrPort `yaml:"metrics_listen"`
+	Daemon `yaml:",inline"`
 	// PacketListen takes the packets of callers. Callers get resets at the same
 	// port of their own address.
 	PacketListen netip.AddrPort `yaml:"packet_listen" required:"true"`
@@ -29,13 +24,13 @@
 	// Store is the address of the object store.
 	Store netip.AddrPort `yaml:"store" required:"true"`
 	// ApplyDeadline bounds the time until a configuration is in force.
-	ApplyDeadline time.Duration `yaml:"apply_deadline" min:"100ms"`
+	ApplyDeadline time.Duration `yaml:"apply_deadline" min:"1ms" rounded:"true"`
 	// DrainDeadline bounds the time until a draining endpoint gets no new flows.
-	DrainDeadline time.Duration `yaml:"drain_deadline" min:"100ms"`
+	DrainDeadline time.Duration `yaml:"drain_deadline" min:"1ms" rounded:"true"`
 	// FlowLifetime is the longest time that a flow may last.
-	FlowLifetime time.Duration `yaml:"flow_lifetime" min:"1s"`
+	FlowLifetime time.Duration `yaml:"flow_lifetime" min:"1s" rounded:"true"`
 	// StopDeadline bounds a graceful stop.
-	StopDeadline time.Duration `yaml:"stop_deadline" min:"0s"`
+	StopDeadline time.Duration `yaml:"stop_deadline" min:"0s" rounded:"true"`
 	// MemoryMB is the memory that the process may use, 0 for no limit.
 	MemoryMB uint32              `yaml:"memory_mb"`
 	MaxFlows uint32              `yaml:"max_flows" min:"1000" max:"10000000"`
@@ -52,7 +47,7 @@
 )
 
 func (r *Relay) setDefaults() {
-	r.LogLevel = "info"
+	r.Daemon.setDefaults()
 	r.ApplyDeadline = defaultApplyDeadline
 	r.DrainDeadline = defaultDrainDeadline
 	r.StopDeadline = defaultStopDeadline
@@ -61,7 +56,20 @@
 }
 
 func (r *Relay) finish(report reporter) {
-	checkName(report, r.Position, "instance", r.Instance)
-	checkName(report, r.Position, "data_centre", r.DataCentre)
-	checkTrace(report, r.Position, r.Trace)
+	r.Daemon.finish(report, r.Position)
+	checkText(report, r.Position, "instance", r.Instance)
+	checkText(report, r.Position, "data_centre", r.DataCentre)
+}
+
+// maxTextLength bounds names that the installation chooses.
+const maxTextLength = 253
+
+// checkText checks a name that the installation chooses: it appears in logs and in
+// the object store.
+func checkText(report reporter, position strictyaml.Position, field, text string) {
+	printable := func(r rune) bool { return r > ' ' && r <= '~' }
+	if text == "" || len(text) > maxTextLength || strings.IndexFunc(text, func(r rune) bool { return !printable(r) }) >= 0 {
+		report(position, field, resultcode.SettingsOutOfRange, "use 1 to 253 printable ASCII characters without spaces",
+			"%s: %q is not a usable name", field, text)
+	}
 }
--- /dev/null
+++ b/internal/settings/relay_test.go
@@ -0,0 +1,73 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+)
+
+// sampleRelay is a file as the platform makes it from platform/relayd.yaml.tmpl.
+const sampleRelay = `# Settings of burdock-relayd, filled in by the platform from its own settings.
+instance: "frontend-fukuoka-1"
+data_centre: "fukuoka"
+metrics_listen: 10.1.0.10:9464
+packet_listen: 10.1.0.10:8172
+ready_listen: 10.1.0.10:8167
+peer_listen: 10.1.0.10:7720
+seeds: ["10.1.0.10:8166","10.2.0.40:8166","10.3.0.7:8166"]
+store: 10.200.1.7:8169
+
+apply_deadline: 3000ms
+
+
+drain_deadline: 2666.7ms
+
+
+stop_deadline: 6.5s
+
+
+flow_lifetime: 60s
+
+memory_mb: 284
+`
+
+// Guards against a rendered file that does not start the process.
+func TestRelaySettingsOfThePlatform(t *testing.T) {
+	r, err := Decode[Relay]("test", []byte(sampleRelay))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Instance != "frontend-fukuoka-1" || len(r.Seeds) != 3 || r.MemoryMB != 284 || r.MaxFlows != defaultRelayFlows {
+		t.Errorf("settings %+v", r)
+	}
+	if r.ApplyDeadline != 3*time.Second || r.DrainDeadline != 2666*time.Millisecond || r.StopDeadline != 6500*time.Millisecond {
+		t.Errorf("deadlines %v, %v, %v", r.ApplyDeadline, r.DrainDeadline, r.StopDeadline)
+	}
+}
+
+// Guards against faults that are found only when the process serves.
+func TestRelaySettingsAreChecked(t *testing.T) {
+	for _, c := range []struct {
+		from, to string
+		code     resultcode.Code
+	}{
+		{`"frontend-fukuoka-1"`, `""`, resultcode.SettingsOutOfRange},
+		{`"fukuoka"`, `"two words"`, resultcode.SettingsOutOfRange},
+		{"store: 10.200.1.7:8169", "", resultcode.SettingsMissingField},
+		{"store: 10.200.1.7:8169", "store: platform:8169", resultcode.SettingsBadAddress},
+		{"3000ms", "3000", resultcode.SettingsWrongUnit},
+		{"3000ms", "0s", resultcode.SettingsOutOfRange},
+		{"memory_mb: 284", "memory_gb: 1", resultcode.SettingsUnknownField},
+		{"memory_mb: 284", "max_flows: 10", resultcode.SettingsOutOfRange},
+	} {
+		if !strings.Contains(sampleRelay, c.from) {
+			t.Fatalf("the sample has no %q", c.from)
+		}
+		_, err := Decode[Relay]("test", []byte(strings.Replace(sampleRelay, c.from, c.to, 1)))
+		if code, _ := resultcode.Of(err); code != c.code {
+			t.Errorf("%q: error %v, want code %d", c.to, err, c.code)
+		}
+	}
+}
--- a/internal/strictyaml/decoder.go
+++ b/internal/strictyaml/decoder.go
@@ -16,8 +16,10 @@
 
 // Decoder decodes the documents of one file and collects the faults.
 //
-// Struct fields use these tags: yaml (name), required ("true"), min and max
-// (in the notation of the file), oneof (values separated by spaces).
+// Struct fields use these tags: yaml (name, or ",inline" for an embedded struct),
+// required ("true"), min and max
+// (in the notation of the file), oneof (values separated by spaces), rounded ("true"
+// for a duration that may be finer than a millisecond and is rounded down).
 type Decoder struct {
 	File   string
 	Codes  Codes
@@ -108,25 +110,38 @@
 }
 
 type fieldInfo struct {
-	index  int
+	index  []int
 	name   string
 	field  reflect.StructField
 	needed bool
 }
 
+// fieldsOf returns the fields of a struct, with those of embedded structs that have
+// the option inline.
 func fieldsOf(t reflect.Type) []fieldInfo {
 	var fields []fieldInfo
-	for i := range t.NumField() {
-		field := t.Field(i)
+	for _, field := range reflect.VisibleFields(t) {
 		name, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
-		if name == "" || name == "-" {
+		if name == "" || name == "-" || !inlined(t, field.Index) {
 			continue
 		}
-		fields = append(fields, fieldInfo{i, name, field, field.Tag.Get("required") == "true"})
+		fields = append(fields, fieldInfo{field.Index, name, field, field.Tag.Get("required") == "true"})
 	}
 	return fields
 }
 
+// inlined reports whether all structs around a field are embedded inline.
+func inlined(t reflect.Type, index []int) bool {
+	for _, at := range index[:len(index)-1] {
+		outer := t.Field(at)
+		if outer.Tag.Get("yaml") != ",inline" {
+			return false
+		}
+		t = outer.Type
+	}
+	return true
+}
+
 func (d *Decoder) structValue(node *yaml.Node, value reflect.Value, path string, ignored []string) {
 	if node.Kind != yaml.MappingNode {
 		d.wrongKind(node, path, "a mapping of fields")
@@ -173,7 +188,7 @@
 	}
 	for _, field := range fields {
 		if field.name == key.Value {
-			d.value(item, value.Field(field.index), join(path, field.name), field.field)
+			d.value(item, value.FieldByIndex(field.index), join(path, field.name), field.field)
 			return
 		}
 	}
--- a/internal/strictyaml/scalar.go
+++ b/internal/strictyaml/scalar.go
@@ -100,6 +100,9 @@
 		})
 		return
 	}
+	if field.Tag.Get("rounded") == "true" {
+		parsed = parsed.Truncate(time.Millisecond)
+	}
 	if parsed%time.Millisecond != 0 {
 		d.Add(node.Line, Fault{
 			Code: d.Codes.WrongUnit, Message: fmt.Sprintf("%s: %q is finer than a millisecond", path, node.Value),
--- a/standins/estate/relayd_test.go
+++ b/standins/estate/relayd_test.go
@@ -113,7 +113,8 @@
 		return netip.AddrPortFrom(netip.MustParseAddr(ip), s.port+offset)
 	}
 	e := &entry{door: door, settings: &settings.Relay{
-		Instance: name, DataCentre: "fukuoka", PacketListen: address(0), ReadyListen: address(1), PeerListen: address(2),
+		Daemon:       settings.Daemon{Instance: name, DataCentre: "fukuoka"},
+		PacketListen: address(0), ReadyListen: address(1), PeerListen: address(2),
 		Store: netip.MustParseAddrPort(door.Address()), ApplyDeadline: 3 * time.Second, DrainDeadline: 3 * time.Second,
 		StopDeadline: 5 * time.Second, FlowLifetime: time.Minute, MaxFlows: 10_000,
 	}}
