--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -473,7 +473,7 @@
 }
 
 // Guards against a status that wraps on a phone, hides trouble, or differs from
-// docs/operations.md.
+// docs/OPERATIONS.md.
 func TestStatusReadsAtFortyColumns(t *testing.T) {
 	f := newFixture(t)
 	f.control.status = sampleStatus()
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -112,7 +112,7 @@
 }
 
 // findingsOf returns what needs an operator's attention, worst first.
-// docs/operations.md explains each of them.
+// docs/OPERATIONS.md explains each of them.
 func findingsOf(status *adminpb.StatusResponse) []string {
 	var findings []string
 	add := func(format string, args ...any) { findings = append(findings, fmt.Sprintf(format, args...)) }
--- /dev/null
+++ b/internal/discovery/changes.go
@@ -0,0 +1,60 @@
+package discovery
+
+import (
+	"slices"
+	"strings"
+
+	"burdockrelay.example/burdockrelay/internal/directory"
+)
+
+// Standing is what an instance believes of an endpoint.
+type Standing uint8
+
+// Standings. Excused endpoints are missing from the store after an outage and still
+// used.
+const (
+	Unknown Standing = iota
+	Serving
+	Draining
+	Excused
+	Gone
+)
+
+// String returns the name used in logs.
+func (s Standing) String() string {
+	switch s {
+	case Serving:
+		return "serving"
+	case Draining:
+		return "draining"
+	case Excused:
+		return "excused"
+	case Gone:
+		return "gone"
+	default:
+		return "unknown"
+	}
+}
+
+// EndpointChange is a change of what is believed of one endpoint.
+type EndpointChange struct {
+	Endpoint directory.Endpoint
+	From, To Standing
+}
+
+// changes compares what is believed now with the last time and returns the
+// changes, by name. The caller holds mu.
+func (k *Knowledge) changes(known []directory.Known, standing func(*directory.Known) Standing) []EndpointChange {
+	var changes []EndpointChange
+	next := make(map[string]Standing, len(known))
+	for i := range known {
+		name := known[i].Endpoint.Name
+		next[name] = standing(&known[i])
+		if former := k.standings[name]; former != next[name] {
+			changes = append(changes, EndpointChange{Endpoint: known[i].Endpoint, From: former, To: next[name]})
+		}
+	}
+	k.standings = next
+	slices.SortFunc(changes, func(a, b EndpointChange) int { return strings.Compare(a.Endpoint.Name, b.Endpoint.Name) })
+	return changes
+}
--- a/internal/discovery/knowledge.go
+++ b/internal/discovery/knowledge.go
@@ -42,6 +42,8 @@
 	pools   map[string]*selection.Pool
 	// instances is how many instances share the endpoints.
 	instances int
+	// standings is what was last believed of each endpoint.
+	standings map[string]Standing
 	// former holds the members of endpoints that are missing.
 	former map[string]*selection.Member
 
@@ -165,9 +167,13 @@
 	Changed bool
 	// Returned is set when the update ends an outage of the store.
 	Returned bool
+	// NewVersion is set when another configuration is in force.
+	NewVersion bool
 	// Version and At are those of the knowledge afterwards.
 	Version, At uint64
-	Endpoints   int
+	// Rules counts the rules in force, Changes are those of endpoints.
+	Rules   int
+	Changes []EndpointChange
 }
 
 // Apply merges an update that was current at a time. returnedAt is when the
@@ -188,12 +194,16 @@
 	if !applied.Usable {
 		return applied
 	}
+	former := k.current.Load().Version()
 	if k.catalog.Forget(k.flowLife, now) > 0 || applied.Changed {
-		k.publish(now)
+		applied.Changes = k.publish(now)
 	}
 	k.confirmedAt.Store(max(k.confirmedAt.Load(), int64(confirmedAt)))
 	applied.Version, applied.At = k.current.Load().Version(), k.catalog.At()
-	applied.Endpoints = len(k.catalog.Known())
+	applied.NewVersion = applied.Version != former
+	if c := k.catalog.Configuration(); c != nil {
+		applied.Rules = len(c.Rules)
+	}
 	return applied
 }
 
@@ -206,23 +216,23 @@
 }
 
 // Settle removes the endpoints that the store has not listed again within the
-// grace after its return. It returns when to call it next, 0 for never.
-func (k *Knowledge) Settle() time.Duration {
+// grace after its return. It returns when to call it next, 0 for never, and what has
+// changed.
+func (k *Knowledge) Settle() (next time.Duration, changes []EndpointChange) {
 	now := k.clock()
 	returnedAt := time.Duration(k.returnedAt.Load())
 	end := returnedAt + returnGrace
 	if returnedAt > 0 && now < end {
-		return end
+		return end, nil
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, known := range k.catalog.Known() {
 		if known.Missing() && k.former[known.Endpoint.Name] == nil {
-			k.publish(now)
-			return 0
+			return 0, k.publish(now)
 		}
 	}
-	return 0
+	return 0, nil
 }
 
 // excused reports whether a missing endpoint may have only lost its entry in an
@@ -232,15 +242,31 @@
 	return returnedAt > 0 && now < returnedAt+returnGrace && known.MissingSince >= returnedAt-returnSlack
 }
 
-// publish builds the view from the catalog. The caller holds mu.
-func (k *Knowledge) publish(now time.Duration) {
+// standing returns what is believed of an endpoint. The caller holds mu.
+func (k *Knowledge) standing(known *directory.Known, now time.Duration) Standing {
+	switch {
+	case known.Missing() && k.excused(known, now):
+		return Excused
+	case known.Missing():
+		return Gone
+	case known.Endpoint.Draining:
+		return Draining
+	default:
+		return Serving
+	}
+}
+
+// publish builds the view from the catalog and returns what has changed of the
+// endpoints. The caller holds mu.
+func (k *Knowledge) publish(now time.Duration) []EndpointChange {
 	listed := make(map[string][]directory.Endpoint, len(k.pools))
 	for service := range k.pools {
 		listed[service] = nil
 	}
 	var missing []directory.Known
-	for _, known := range k.catalog.Known() {
-		if known.Missing() && !k.excused(&known, now) {
+	all := k.catalog.Known()
+	for _, known := range all {
+		if k.standing(&known, now) == Gone {
 			missing = append(missing, known)
 			continue
 		}
@@ -265,6 +291,7 @@
 	if !wasKnown && k.Known() {
 		close(k.ready)
 	}
+	return k.changes(all, func(known *directory.Known) Standing { return k.standing(known, now) })
 }
 
 // formerMember returns the member of an endpoint that is no longer listed.
--- a/internal/discovery/syncer.go
+++ b/internal/discovery/syncer.go
@@ -102,9 +102,11 @@
 		s.reads.Store(s.plan.Reads(now))
 		s.start(ctx, step)
 		wake := step.Wake
-		if settle := s.knowledge.Settle(); settle != 0 {
+		settle, changes := s.knowledge.Settle()
+		if settle != 0 {
 			wake = min(wake, settle)
 		}
+		s.logChanges(changes, "grace_over", 0)
 		timer.Reset(max(wake-now, time.Millisecond))
 		select {
 		case <-ctx.Done():
@@ -297,10 +299,28 @@
 	if applied.Returned {
 		s.logger.Info("knowledge_regained", zap.String("from", from), zap.Uint64("revision", applied.At))
 	}
-	if applied.Changed {
-		s.logger.Info("knowledge_changed", zap.String("from", from), zap.Uint64("version", applied.Version),
-			zap.Uint64("revision", applied.At), zap.Int("endpoints", applied.Endpoints),
-			zap.Duration("age", s.knowledge.Now()-confirmedAt))
+	age := s.knowledge.Now() - confirmedAt
+	if applied.NewVersion {
+		s.logger.Info("configuration_in_force", zap.String("from", from), zap.Uint64("version", applied.Version),
+			zap.Uint64("revision", applied.At), zap.Int("rules", applied.Rules), zap.Int64("age_ms", age.Milliseconds()))
+	}
+	s.logChanges(applied.Changes, from, age)
+}
+
+// maxChangesLogged bounds the lines for one update.
+const maxChangesLogged = 64
+
+// logChanges tells what is believed anew of endpoints.
+func (s *Syncer) logChanges(changes []EndpointChange, from string, age time.Duration) {
+	for i := range changes {
+		if i == maxChangesLogged {
+			s.logger.Info("endpoint_changes_not_logged", zap.Int("count", len(changes)-i))
+			return
+		}
+		c := &changes[i]
+		s.logger.Info("endpoint_changed", zap.String("endpoint", c.Endpoint.Name), zap.String("service", c.Endpoint.Service),
+			zap.String("data_centre", c.Endpoint.DataCentre), zap.Stringer("was", c.From), zap.Stringer("is", c.To),
+			zap.Uint64("revision", c.Endpoint.Revision), zap.String("from", from), zap.Int64("age_ms", age.Milliseconds()))
 	}
 }
 
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -91,7 +91,7 @@
 	i := &Instance{settings: loaded, logger: logger}
 	ctx := i.tomb.Context(context.Background())
 	i.knowledge = discovery.NewKnowledge(loaded.DataCentre, loaded.FlowLifetime, bound(loaded), bootTime)
-	self := discovery.Peer{Name: loaded.Instance, Address: loaded.PeerListen}
+	self := discovery.Peer{Name: loaded.Instance, Address: loaded.PeerAddress}
 	peers := discovery.NewPeers(self, seedAddresses(loaded))
 	metrics := discovery.NewMetrics(registry, i.knowledge, peers)
 	i.syncer = discovery.NewSyncer(loaded.Instance, bound(loaded), i.knowledge, peers, adapter.Source, metrics, logger)
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -19,6 +19,9 @@
 	ReadyListen netip.AddrPort `yaml:"ready_listen" required:"true"`
 	// PeerListen serves other instances.
 	PeerListen netip.AddrPort `yaml:"peer_listen" required:"true"`
+	// PeerAddress is where other instances reach PeerListen, the same address by
+	// default.
+	PeerAddress netip.AddrPort `yaml:"peer_address"`
 	// Seeds are addresses of instances that may be up, by IP address.
 	Seeds []netip.AddrPort `yaml:"seeds"`
 	// Store is the address of the object store.
@@ -57,6 +60,9 @@
 
 func (r *Relay) finish(report reporter) {
 	r.Daemon.finish(report, r.Position)
+	if !r.PeerAddress.IsValid() {
+		r.PeerAddress = r.PeerListen
+	}
 	checkText(report, r.Position, "instance", r.Instance)
 	checkText(report, r.Position, "data_centre", r.DataCentre)
 }
--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -16,7 +16,7 @@
 
 readonly CALLERS_S=130
 # controld may report exceptions for 30 s and hand over for 9 s, entryd may relay
-# for 30 s (docs/operations.md and section 4 of docs/design.md).
+# for 30 s (docs/OPERATIONS.md and section 4 of docs/design.md).
 readonly CONTROLD_STOP_S=39
 readonly ENTRYD_STOP_S=30
 # entryd decides by its flow table for 3 s after the last renewal of its lease,
--- /dev/null
+++ b/standins/cmd/fault-soak/main.go
@@ -0,0 +1,82 @@
+// Command fault-soak plays random faults against burdock-relayd processes on loopback.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"burdockrelay.example/burdockrelay/standins/soak"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	seed := flag.Int64("seed", 0, "first `seed`; 0 takes one from the clock")
+	seeds := flag.Int("seeds", 0, "`number` of seeds; 0 plays until the time is over")
+	length := flag.Duration("length", 40*time.Second, "`time` with faults for each seed")
+	minutes := flag.Float64("minutes", 5, "`minutes` to play when no number of seeds is given")
+	instances := flag.Int("instances", 4, "`number` of instances")
+	program := flag.String("program", "bin/burdock-relayd", "path of burdock-relayd")
+	folder := flag.String("out", "out/soak", "`folder` for settings and logs")
+	verbose := flag.Bool("v", false, "print each fault")
+	flag.Parse()
+	if *seed == 0 {
+		*seed = time.Now().UnixNano() % 1_000_000
+	}
+	began := time.Now()
+	failed := 0
+	for n := int64(0); ; n++ {
+		if *seeds > 0 && n >= int64(*seeds) || *seeds == 0 && n > 0 && time.Since(began).Minutes() >= *minutes {
+			break
+		}
+		if !play(*seed+n, *length, *instances, *program, *folder, *verbose) {
+			failed++
+		}
+	}
+	if failed > 0 {
+		fmt.Printf("%d seeds failed\n", failed)
+		return 1
+	}
+	return 0
+}
+
+// play plays one seed and reports whether it passed.
+func play(seed int64, length time.Duration, instances int, program, folder string, verbose bool) bool {
+	own := filepath.Join(folder, fmt.Sprintf("seed-%d", seed))
+	if err := os.RemoveAll(own); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	if err := os.MkdirAll(own, 0o755); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	events, err := os.Create(filepath.Join(own, "faults.txt"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	defer events.Close()
+	result, err := soak.Run(soak.Settings{
+		Seed: seed, Length: length, Instances: instances, Program: program, Folder: own, Output: events,
+	})
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
+		return false
+	}
+	fmt.Printf("seed %d: %d faults, %d of %d requests answered, %d flows broken, after the faults %d of %d; %d violations\n",
+		seed, result.Faults, result.Answered, result.Asked, result.Broken,
+		result.CalmAnswered, result.CalmAsked, len(result.Violations))
+	for n, violation := range result.Violations {
+		fmt.Fprintln(events, violation)
+		if verbose || n < 5 {
+			fmt.Println("  " + violation)
+		}
+	}
+	return len(result.Violations) == 0
+}
--- a/standins/estate/caller.go
+++ b/standins/estate/caller.go
@@ -101,7 +101,7 @@
 	switch {
 	case p.has(flagReset):
 		if system {
-			h.ledger.resetBySystem(a.local)
+			h.ledger.resetBySystem(a.local, a.remote)
 		}
 		a.failed = true
 	case p.has(flagSyn):
@@ -130,7 +130,12 @@
 	}
 }
 
-func (h *Host) send(p *packet) { h.router.send(h.socket, p) }
+func (h *Host) send(p *packet) {
+	entry := h.router.send(h.socket, p)
+	if p.has(flagSyn) {
+		h.ledger.sentThrough(p.from, entry)
+	}
+}
 
 // run repeats first packets and sends again.
 func (h *Host) run() {
--- a/standins/estate/router.go
+++ b/standins/estate/router.go
@@ -156,19 +156,21 @@
 	return best
 }
 
-func (r *Router) send(socket *net.UDPConn, p *packet) {
+// send sends a packet to an instance and returns its name, "" when it is lost.
+func (r *Router) send(socket *net.UDPConn, p *packet) string {
 	r.mu.Lock()
 	e := r.choose(p)
 	lost := r.lossPercent > 0 && rand.Intn(100) < r.lossPercent
 	delay := r.delay
 	r.mu.Unlock()
 	if e == nil || lost {
-		return
+		return ""
 	}
 	data := p.encode()
 	if delay == 0 {
 		_, _ = socket.WriteToUDPAddrPort(data, e.Packets)
-		return
+		return e.Name
 	}
 	time.AfterFunc(delay, func() { _, _ = socket.WriteToUDPAddrPort(data, e.Packets) })
+	return e.Name
 }
--- /dev/null
+++ b/standins/soak/soak.go
@@ -0,0 +1,288 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/netip"
+	"os"
+	"time"
+
+	"burdockrelay.example/burdockrelay/standins/estate"
+)
+
+const (
+	// bound is the time in which changes take effect.
+	bound = 3 * time.Second
+	// stopLimit is the time after which a process that is to stop is killed.
+	stopLimit = 6 * time.Second
+	// startLimit is the time in which all instances must be in rotation.
+	startLimit = 10 * time.Second
+	// settle is the time without faults before the calm phase, calm its length.
+	settle = 6 * time.Second
+	calm   = 3 * time.Second
+	// calmShare is the share of the requests that must be answered in the calm phase.
+	calmShare = 0.99
+	// usersPerDestination send requests with a pause between them.
+	usersPerDestination = 4
+	userPause           = 60 * time.Millisecond
+)
+
+// Settings describe one run.
+type Settings struct {
+	Seed      int64
+	Length    time.Duration
+	Instances int
+	// Program is the path of burdock-relayd, Folder takes settings and logs.
+	Program string
+	Folder  string
+	// Output is told of each fault.
+	Output io.Writer
+}
+
+// Result is what a run has found.
+type Result struct {
+	Violations []string
+	Faults     int
+	// Asked and Answered count the requests of the whole run, CalmAsked and
+	// CalmAnswered those of the calm phase at its end.
+	Asked, Answered         int
+	CalmAsked, CalmAnswered int
+	Broken                  int
+}
+
+// run is one run under way.
+type run struct {
+	settings  Settings
+	random    *rand.Rand
+	began     time.Time
+	store     *estate.Store
+	ledger    *estate.Ledger
+	operator  *estate.Operator
+	router    *estate.Router
+	port      uint16
+	instances []*instance
+	endpoints map[string][]*estate.Endpoint
+	nextID    int
+	faults    int
+	hosts     []*estate.Host
+	// pending are the ends of faults under way.
+	pending []ending
+	// extra are the destinations that come and go.
+	extra int
+}
+
+// ending is the end of a fault.
+type ending struct {
+	at  time.Time
+	end func()
+}
+
+// Run plays one seed.
+func Run(settings Settings) (*Result, error) {
+	r := &run{
+		settings: settings, random: rand.New(rand.NewSource(settings.Seed)), began: time.Now(),
+		store: estate.NewStore(), ledger: estate.NewLedger(bound + scheduling), router: estate.NewRouter(),
+		endpoints: make(map[string][]*estate.Endpoint),
+	}
+	defer r.close()
+	if err := r.start(); err != nil {
+		return nil, err
+	}
+	stop := make(chan struct{})
+	var tally estate.Tally
+	r.use(&tally, stop)
+	for time.Since(r.began) < settings.Length {
+		r.endDue(time.Now())
+		r.disturb()
+		r.wait(time.Duration(100+r.random.Intn(900)) * time.Millisecond)
+	}
+	r.endDue(time.Now().Add(time.Hour))
+	time.Sleep(settle)
+	result := &Result{Faults: r.faults}
+	asked, answered, _, _ := tally.Counts()
+	time.Sleep(calm)
+	result.Asked, result.Answered, _, result.Broken = tally.Counts()
+	result.CalmAsked, result.CalmAnswered = result.Asked-asked, result.Answered-answered
+	close(stop)
+	result.Violations = r.ledger.Violations()
+	for _, i := range r.instances {
+		if i.endedByItself() {
+			result.Violations = append(result.Violations, i.name+" ended by itself")
+		}
+	}
+	if float64(result.CalmAnswered) < calmShare*float64(result.CalmAsked) || result.CalmAsked == 0 {
+		result.Violations = append(result.Violations,
+			fmt.Sprintf("%d of %d requests answered after the faults", result.CalmAnswered, result.CalmAsked))
+	}
+	return result, nil
+}
+
+// scheduling is what this machine may add to a bound.
+const scheduling = 300 * time.Millisecond
+
+func (r *run) tell(format string, args ...any) {
+	fmt.Fprintf(r.settings.Output, "%7.3f s  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func (r *run) close() {
+	for _, h := range r.hosts {
+		h.Close()
+	}
+	for _, i := range r.instances {
+		i.close()
+	}
+	for _, list := range r.endpoints {
+		for _, e := range list {
+			e.Close()
+		}
+	}
+	r.router.Close()
+}
+
+func (r *run) start() error {
+	if err := os.MkdirAll(r.settings.Folder, 0o755); err != nil {
+		return err
+	}
+	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	r.port = socket.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+	_ = socket.Close()
+	r.operator = estate.NewOperator(r.store, r.ledger)
+	r.publish()
+	for range 5 {
+		if err := r.addEndpoint("desk"); err != nil {
+			return err
+		}
+	}
+	for range 2 {
+		if err := r.addEndpoint("store"); err != nil {
+			return err
+		}
+	}
+	for n := range r.settings.Instances {
+		if err := r.addInstance(n); err != nil {
+			return err
+		}
+	}
+	for end := time.Now().Add(startLimit); r.router.InRotation() < r.settings.Instances; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			return fmt.Errorf("%d of %d instances in rotation after %v", r.router.InRotation(), r.settings.Instances, startLimit)
+		}
+	}
+	return nil
+}
+
+func (r *run) addInstance(n int) error {
+	i := &instance{
+		name: fmt.Sprintf("entry-%d", n+1), ip: fmt.Sprintf("127.1.%d.%d", n/200, n%200+1),
+		program: r.settings.Program, folder: r.settings.Folder, port: r.port,
+	}
+	var err error
+	if i.door, err = r.store.OpenDoor("127.0.0.1"); err != nil {
+		return err
+	}
+	if i.store, err = startProxy(i.door.Address()); err != nil {
+		return err
+	}
+	if i.peers, err = startProxy(fmt.Sprintf("%s:%d", i.ip, i.port+2)); err != nil {
+		return err
+	}
+	r.instances = append(r.instances, i)
+	if err := i.writeSettings("info"); err != nil {
+		return err
+	}
+	r.router.Add(&estate.Entry{
+		Name:    i.name,
+		Packets: netip.MustParseAddrPort(fmt.Sprintf("%s:%d", i.ip, i.port)),
+		Ready:   netip.MustParseAddrPort(fmt.Sprintf("%s:%d", i.ip, i.port+1)),
+	})
+	r.ledger.Trouble(i.name, time.Now(), true)
+	return i.start()
+}
+
+func (r *run) addEndpoint(service string) error {
+	r.nextID++
+	e, err := estate.StartEndpoint(estate.EndpointSettings{
+		Name: fmt.Sprintf("i-%x", r.nextID*7919), Service: service, Zone: "fukuoka", CallerPort: r.port,
+		Address: netip.MustParseAddrPort(fmt.Sprintf("127.2.%d.%d:%d", r.nextID/200, r.nextID%200+1, r.port)),
+	}, r.store, r.ledger)
+	if err != nil {
+		return err
+	}
+	r.endpoints[service] = append(r.endpoints[service], e)
+	return nil
+}
+
+// destinations returns the lasting destinations and the one that comes and goes.
+func (r *run) destinations() []estate.Destination {
+	host := netip.MustParseAddr("198.18.0.1")
+	list := []estate.Destination{
+		{Address: host, Port: 443, Service: "desk", Kind: estate.Idempotent, Size: 4000, Work: 8 * time.Millisecond, Limit: time.Second},
+		{Address: host, Port: 8443, Service: "desk", Kind: estate.Report, Size: 600, Work: 8 * time.Millisecond, Limit: time.Second, Kept: true},
+		{Address: host, Port: 80, Service: "store", Kind: estate.Download, Size: 60_000, Work: 3 * time.Millisecond, Limit: 3 * time.Second, Kept: true},
+	}
+	if r.extra%2 == 0 {
+		list = append(list, r.passing())
+	}
+	return list
+}
+
+// passing is a destination that configurations add and take away.
+func (r *run) passing() estate.Destination {
+	return estate.Destination{
+		Address: netip.MustParseAddr("198.18.0.2"), Port: 443, Service: "desk", Kind: estate.Idempotent,
+		Size: 1000, Work: 2 * time.Millisecond, Limit: time.Second,
+	}
+}
+
+func (r *run) publish() { r.operator.Publish(r.destinations()) }
+
+// use starts the callers. Those of the passing destination do not count.
+func (r *run) use(tally *estate.Tally, stop <-chan struct{}) {
+	var passing estate.Tally
+	for n := range 2 {
+		host, err := estate.OpenHost(netip.MustParseAddr(fmt.Sprintf("127.3.0.%d", n+1)), r.port, r.router, r.ledger)
+		if err != nil {
+			r.tell("a caller cannot start: %v", err)
+			continue
+		}
+		r.hosts = append(r.hosts, host)
+		for _, d := range r.destinations()[:3] {
+			for range usersPerDestination {
+				go host.Use(&d, userPause, tally, stop)
+			}
+		}
+		d := r.passing()
+		go host.Use(&d, userPause, &passing, stop)
+	}
+}
+
+// wait passes time and ends faults that are due.
+func (r *run) wait(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		r.endDue(time.Now())
+	}
+}
+
+// later ends a fault after a time.
+func (r *run) later(d time.Duration, end func()) {
+	r.pending = append(r.pending, ending{at: time.Now().Add(d), end: end})
+}
+
+func (r *run) endDue(now time.Time) {
+	var left []ending
+	due := r.pending
+	r.pending = nil
+	for _, e := range due {
+		if e.at.After(now) {
+			left = append(left, e)
+			continue
+		}
+		e.end()
+	}
+	r.pending = append(r.pending, left...)
+}
