--- a/internal/decision/selection/selection.go
+++ b/internal/decision/selection/selection.go
@@ -219,6 +219,14 @@
 	return chosen, silent
 }
 
+// Overdue is Choose without a new flow: it returns the endpoints that have become
+// suspect.
+func (p *Pool) Overdue(now time.Duration) []*Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.overdue(now)
+}
+
 // overdue ends the wait for the answers to choices that are old enough, and makes
 // endpoints suspect that have shown no life since. An endpoint that refuses flows
 // shows itself in no other way: the refusal goes to the caller directly.
--- a/internal/decision/selection/selection_test.go
+++ b/internal/decision/selection/selection_test.go
@@ -195,6 +195,19 @@
 	}
 }
 
+// Guards against a service with few flows that notices a dead endpoint with its next
+// flow only.
+func TestSilentEndpointIsSuspectWithoutNewFlows(t *testing.T) {
+	p := desk(2, 0)
+	m, _ := p.Choose(time.Second, nil)
+	if silent := p.Overdue(time.Second + minAnswerWait/2); len(silent) != 0 {
+		t.Errorf("suspect before its time: %v", silent)
+	}
+	if silent := p.Overdue(time.Second + maxAnswerWait); len(silent) != 1 || silent[0] != m {
+		t.Errorf("suspect: %v", silent)
+	}
+}
+
 // Guards against requests that an endpoint took with it when it died and that count as
 // load of the others.
 func TestRequestsOnSuspectEndpointsAreNoLoad(t *testing.T) {
--- a/internal/decision/steering/view.go
+++ b/internal/decision/steering/view.go
@@ -121,6 +121,16 @@
 	return r.pools[len(r.pools)-1]
 }
 
+// Overdue returns the endpoints that have become suspect since the last new flows of
+// their services: a service with few flows would notice late.
+func (v *View) Overdue(now time.Duration) []*selection.Member {
+	var silent []*selection.Member
+	for _, p := range v.pools {
+		silent = append(silent, p.Overdue(now)...)
+	}
+	return silent
+}
+
 // Version returns the version of the configuration, 0 for none.
 func (v *View) Version() uint64 { return v.version }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -156,22 +156,29 @@
 	pauseAfter = 400 * time.Millisecond
 )
 
-// beat notes at intervals that the process runs.
+// beat notes at intervals that the process runs, and looks for endpoints that have not
+// answered.
 func (s *Server) beat() error {
 	ticker := time.NewTicker(heartbeat)
 	defer ticker.Stop()
 	for {
-		s.running.Store(int64(s.knowledge.Now()))
 		select {
 		case <-s.tomb.Dying():
 			return nil
 		case <-ticker.C:
 		}
+		now := s.knowledge.Now()
+		s.notePause(now)
+		s.running.Store(int64(now))
+		view, _ := s.knowledge.Current(now)
+		for _, m := range view.Overdue(now) {
+			s.observer.suspected(m)
+		}
 	}
 }
 
-// notePause looks for a pause of the process before a packet is handled. Packets may
-// have waited in the socket meanwhile.
+// notePause looks for a pause of the process, before each packet too, because packets
+// may have waited in the socket meanwhile.
 func (s *Server) notePause(now time.Duration) {
 	last := s.running.Load()
 	if now-time.Duration(last) < pauseAfter || !s.running.CompareAndSwap(last, int64(now)) {
