Tell the store's return from peers' old knowledge, bound questions in an outage

The store's own answer after an outage, or a peer that saw it, is the return now; three questions without a fresh answer are an interval's share. The soak's check of drains charged flows whose last copy the router had lost to no instance; it keeps the instance that got one.

--- a/internal/decision/freshness/freshness.go
+++ b/internal/decision/freshness/freshness.go
@@ -66,6 +66,9 @@
 	maxDoublings = 8
 	// gossipIntervals is the time between questions to other peers in intervals.
 	gossipIntervals = 4
+	// vainAsks is the number of questions in an interval when none is answered with
+	// fresh knowledge, as while the store is away for all.
+	vainAsks = 3
 	// stagger spreads the instances over a quarter of an interval when all start
 	// to read by themselves, so that the first ones can tell the others.
 	stagger = 4
@@ -101,15 +104,17 @@
 	readBegan time.Duration
 	// failures counts the reads that failed since the last confirmation;
 	// turnedAway is set when the last read failed.
-	failures    int
-	turnedAway  bool
-	nextRead    time.Duration
-	asking      string
-	askedAt     time.Duration
-	nextAsk     time.Duration
-	nextGossip  time.Duration
-	gossiped    int
-	gossiping   bool
+	failures   int
+	turnedAway bool
+	nextRead   time.Duration
+	asking     string
+	askedAt    time.Duration
+	nextAsk    time.Duration
+	nextGossip time.Duration
+	gossiped   int
+	gossiping  bool
+	// vain counts the questions since the last one with a fresh answer.
+	vain        int
 	neverTried  bool
 	firstRead   time.Duration
 	staggerPart time.Duration
@@ -349,19 +354,22 @@
 	}
 	switch answer {
 	case Fresh:
-		asked.failures = 0
+		asked.failures, p.vain = 0, 0
 		untilRead := p.settings.Interval - age + p.settings.Interval/readPart
 		p.nextAsk = now + max(untilRead, p.settings.Interval/leastAskPart)
 		return
 	case Stale:
 		asked.failures = 0
-		asked.restUntil = now + p.settings.Interval
+		asked.restUntil = now + p.settings.Interval*3/2
 	case Silent:
 		asked.restUntil = now + min(p.settings.PeerRest<<min(asked.failures, maxDoublings), p.settings.MaxPeerRest)
 		asked.failures++
 	}
 	asked.failedAt = now
-	p.nextAsk = now
+	p.vain++
+	if p.vain%vainAsks != 0 {
+		p.nextAsk = now
+	}
 }
 
 // Heard notes that a peer was known to run at a time: one that failed before that
--- a/internal/discovery/knowledge.go
+++ b/internal/discovery/knowledge.go
@@ -165,7 +165,7 @@
 	Usable bool
 	// Changed is set when the update brought something new.
 	Changed bool
-	// Returned is set when the update ends an outage of the store.
+	// Returned is set when the update tells of the end of an outage of the store.
 	Returned bool
 	// NewVersion is set when another configuration is in force.
 	NewVersion bool
@@ -176,19 +176,30 @@
 	Changes []EndpointChange
 }
 
-// Apply merges an update that was current at a time. returnedAt is when the
-// teller of the update saw the store come back, 0 if it was itself the store.
-func (k *Knowledge) Apply(u *directory.Update, confirmedAt, returnedAt time.Duration) Applied {
+// Word is how an update was learned.
+type Word struct {
+	// ConfirmedAt is when the store held what the update tells, or later.
+	ConfirmedAt time.Duration
+	// FromStore is set for an answer of the store itself.
+	FromStore bool
+	// ReturnedAt is when the peer that told it saw the store come back from an
+	// outage, 0 for never.
+	ReturnedAt time.Duration
+}
+
+// Apply merges an update.
+func (k *Knowledge) Apply(u *directory.Update, word Word) Applied {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.clock()
 	var applied Applied
-	if k.Known() && now-time.Duration(k.confirmedAt.Load()) > k.outageAge {
+	if word.FromStore && k.Known() && now-time.Duration(k.confirmedAt.Load()) > k.outageAge {
+		word.ReturnedAt = now
+	}
+	// Peers tell of one return at times that differ by the way of their answers.
+	if word.ReturnedAt > time.Duration(k.returnedAt.Load())+returnSlack {
 		applied.Returned = true
-		if returnedAt == 0 {
-			returnedAt = now
-		}
-		k.returnedAt.Store(max(k.returnedAt.Load(), int64(returnedAt)))
+		k.returnedAt.Store(int64(word.ReturnedAt))
 	}
 	applied.Changed, applied.Usable = k.catalog.Apply(u, now)
 	if !applied.Usable {
@@ -198,7 +209,7 @@
 	if k.catalog.Forget(k.flowLife, now) > 0 || applied.Changed {
 		applied.Changes = k.publish(now)
 	}
-	k.confirmedAt.Store(max(k.confirmedAt.Load(), int64(confirmedAt)))
+	k.confirmedAt.Store(max(k.confirmedAt.Load(), int64(word.ConfirmedAt)))
 	applied.Version, applied.At = k.current.Load().Version(), k.catalog.At()
 	applied.NewVersion = applied.Version != former
 	if c := k.catalog.Configuration(); c != nil {
--- a/internal/discovery/syncer.go
+++ b/internal/discovery/syncer.go
@@ -184,7 +184,7 @@
 		s.noteStore(err, now-began)
 	}
 	if err == nil {
-		s.apply(update, began, 0, "store")
+		s.apply(update, Word{ConfirmedAt: began, FromStore: true}, "store")
 	}
 }
 
@@ -275,31 +275,31 @@
 	if !answer.Known {
 		return
 	}
-	var returnedAt time.Duration
+	word := Word{ConfirmedAt: asked - age}
 	if answer.ReturnedUs > 0 {
-		returnedAt = asked - time.Duration(answer.ReturnedUs)*time.Microsecond
+		word.ReturnedAt = asked - time.Duration(answer.ReturnedUs)*time.Microsecond
 	}
 	update, err := updateFromWire(answer, now)
 	if err != nil {
 		s.logger.Error("peer_unreadable", zap.String("peer", name), zap.Error(err))
 		return
 	}
-	s.apply(update, asked-age, returnedAt, name)
+	s.apply(update, word, name)
 }
 
-func (s *Syncer) apply(update directory.Update, confirmedAt, returnedAt time.Duration, from string) {
-	applied := s.knowledge.Apply(&update, confirmedAt, returnedAt)
+func (s *Syncer) apply(update directory.Update, word Word, from string) {
+	applied := s.knowledge.Apply(&update, word)
 	if !applied.Usable {
 		s.logger.Info("update_unusable", zap.String("from", from), zap.Uint64("since", update.Since), zap.Uint64("at", update.At))
 		return
 	}
 	if s.knowledge.Known() {
-		s.plan.Confirmed(confirmedAt)
+		s.plan.Confirmed(word.ConfirmedAt)
 	}
 	if applied.Returned {
 		s.logger.Info("knowledge_regained", zap.String("from", from), zap.Uint64("revision", applied.At))
 	}
-	age := s.knowledge.Now() - confirmedAt
+	age := s.knowledge.Now() - word.ConfirmedAt
 	if applied.NewVersion {
 		s.logger.Info("configuration_in_force", zap.String("from", from), zap.Uint64("version", applied.Version),
 			zap.Uint64("revision", applied.At), zap.Int("rules", applied.Rules), zap.Int64("age_ms", age.Milliseconds()))
--- a/standins/estate/caller.go
+++ b/standins/estate/caller.go
@@ -132,7 +132,7 @@
 
 func (h *Host) send(p *packet) {
 	entry := h.router.send(h.socket, p)
-	if p.has(flagSyn) {
+	if p.has(flagSyn) && entry != "" {
 		h.ledger.sentThrough(p.from, entry)
 	}
 }
--- a/standins/estate/discovery_test.go
+++ b/standins/estate/discovery_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"burdockrelay.example/burdockrelay/internal/discovery"
 	"burdockrelay.example/burdockrelay/platform"
+	"burdockrelay.example/burdockrelay/proto/syncpb"
 	"burdockrelay.example/burdockrelay/standins/estate"
 )
 
@@ -28,7 +30,9 @@
 	knowledge *discovery.Knowledge
 	peers     *discovery.Peers
 	address   netip.AddrPort
-	stop      func()
+	// asked counts the questions of others.
+	asked atomic.Int32
+	stop  func()
 }
 
 // startNode starts an instance that knows other instances by their addresses.
@@ -55,7 +59,11 @@
 	source := &platform.Source{Store: client, Logger: zap.NewNop()}
 	metrics := discovery.NewMetrics(prometheus.NewRegistry(), n.knowledge, n.peers)
 	syncer := discovery.NewSyncer(name, bound, n.knowledge, n.peers, source, metrics, zap.NewNop())
-	service := &discovery.Service{Knowledge: n.knowledge, Peers: n.peers, Reads: syncer.Reads, Hear: syncer.Hear}
+	hear := func(ctx context.Context, peers ...*syncpb.Peer) {
+		n.asked.Add(1)
+		syncer.Hear(ctx, peers...)
+	}
+	service := &discovery.Service{Knowledge: n.knowledge, Peers: n.peers, Reads: syncer.Reads, Hear: hear}
 	registry := &discovery.Registry{Store: client, Self: self, Peers: n.peers, Logger: zap.NewNop(), Found: syncer.Hear}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 3)
@@ -243,6 +251,35 @@
 	within(t, 4*time.Second, "the two that did not return are gone", func() bool { return n.endpoints() == 1 })
 }
 
+// Guards against instances that take each other's old knowledge for the store's return,
+// and that ask each other without end while the store is away.
+func TestPeersAreNotTheStore(t *testing.T) {
+	t.Parallel()
+	store := estateWith(3)
+	nodes := []*node{startNode(t, store, "entry-1")}
+	for i := range 3 {
+		nodes = append(nodes, startNode(t, store, fmt.Sprintf("entry-%d", i+2), nodes[0]))
+	}
+	for _, n := range nodes {
+		within(t, 8*bound, "start", func() bool { return n.endpoints() == 3 && n.peers.Count() == 3 })
+	}
+	for _, n := range nodes {
+		n.door.Set(estate.Faults{Mode: estate.Reset})
+	}
+	time.Sleep(4 * bound)
+	before := nodes[0].asked.Load()
+	time.Sleep(4 * bound)
+	// An interval is a quarter of the bound.
+	if asks := nodes[0].asked.Load() - before; asks > 16*5 {
+		t.Errorf("asked %d times in 16 intervals", asks)
+	}
+	for _, n := range nodes {
+		if _, fresh := n.knowledge.Current(n.knowledge.Now()); fresh.Settled < 8*bound {
+			t.Errorf("%s takes the store to have come back %v ago", n.name, fresh.Settled)
+		}
+	}
+}
+
 // Guards against an endpoint that leaves while all is well and is kept as if there
 // had been an outage.
 func TestEntryThatIsRemovedIsGoneAtOnce(t *testing.T) {
