--- /dev/null
+++ b/internal/controller/configuration_watch.go
@@ -0,0 +1,176 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+
+	"go.uber.org/zap"
+
+	"burdockrelay.example/burdockrelay/internal/decision/release"
+	"burdockrelay.example/burdockrelay/internal/platform"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+)
+
+// watch follows the platform while this instance is one of its data centre's
+// watchers.
+func (c *configurationController) watch(ctx context.Context) error {
+	var stop context.CancelFunc
+	for ctx.Err() == nil {
+		watcher := c.isWatcher()
+		if watcher && stop == nil {
+			c.logger.Info("watch_started")
+			var watching context.Context
+			watching, stop = context.WithCancel(ctx)
+			c.follow(watching, platform.Pointers, &pointerHandler{c})
+			c.follow(watching, platform.Releases, &releaseHandler{c})
+			c.follow(watching, platform.Drains, c.drains)
+		}
+		if !watcher && stop != nil {
+			c.logger.Info("watch_ended")
+			stop()
+			stop = nil
+		}
+		sleep(ctx, watchCheckInterval)
+	}
+	if stop != nil {
+		stop()
+	}
+	return nil
+}
+
+func (c *configurationController) follow(ctx context.Context, collection string, handler platform.Handler) {
+	c.tomb.Go(func() error {
+		c.platform.Watch(ctx, collection, handler)
+		return nil
+	})
+}
+
+// poll reads the pointer now and then on instances that do not watch.
+func (c *configurationController) poll(ctx context.Context) error {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		known := c.tracker.Accepted().Number > 0
+		c.mu.Unlock()
+		interval := firstPollInterval
+		if known {
+			interval = pollInterval
+		}
+		sleep(ctx, jitter(interval))
+		if !c.isWatcher() {
+			c.readPointer(ctx)
+		}
+	}
+	return nil
+}
+
+func (c *configurationController) readPointer(ctx context.Context) {
+	object, err := c.platform.Get(ctx, platform.Pointers, pointerName)
+	code, _ := resultcode.Of(err)
+	switch {
+	case err == nil:
+		c.takePointer(object)
+	case code == resultcode.PlatformNotFound:
+		c.fresh(inputPlatform)
+	default:
+		c.stale(inputPlatform, err)
+	}
+}
+
+func (c *configurationController) takePointer(object *platform.Object) {
+	c.fresh(inputPlatform)
+	if object.Metadata.Name != pointerName {
+		return
+	}
+	var spec pointerSpec
+	if err := json.Unmarshal(object.Spec, &spec); err != nil {
+		c.logger.Warn("pointer_object", zap.Error(err))
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.observeAccepted(release.Ref{Number: spec.Number, Hash: spec.Hash})
+}
+
+type pointerHandler struct{ *configurationController }
+
+// Replace takes the list of pointers.
+func (h *pointerHandler) Replace(list *platform.List) {
+	h.fresh(inputPlatform)
+	for i := range list.Items {
+		h.takePointer(&list.Items[i])
+	}
+}
+
+// Change takes a moved pointer.
+func (h *pointerHandler) Change(kind string, object *platform.Object) {
+	if kind != platform.Deleted {
+		h.takePointer(object)
+	}
+}
+
+// Failed records that the platform does not answer.
+func (h *pointerHandler) Failed(err error) {
+	h.stale(inputPlatform, err)
+	h.logger.Debug("watch_failed", zap.Error(err))
+}
+
+type releaseHandler struct{ *configurationController }
+
+// Replace takes the list of releases and withdraws one that is gone.
+func (h *releaseHandler) Replace(list *platform.List) {
+	h.mu.Lock()
+	prepared := h.tracker.Prepared()
+	h.mu.Unlock()
+	found := false
+	for i := range list.Items {
+		spec, ok := h.takeRelease(&list.Items[i])
+		found = found || (ok && spec.ref().Matches(prepared))
+	}
+	if !found && prepared.Number > 0 {
+		h.withdraw(prepared)
+	}
+}
+
+// Change takes a written or removed release.
+func (h *releaseHandler) Change(kind string, object *platform.Object) {
+	if kind != platform.Deleted {
+		h.takeRelease(object)
+		return
+	}
+	var spec releaseSpec
+	if json.Unmarshal(object.Spec, &spec) == nil && spec.Number > 0 {
+		h.withdraw(spec.ref())
+	}
+}
+
+// Failed records that the platform does not answer.
+func (h *releaseHandler) Failed(err error) { h.stale(inputPlatform, err) }
+
+func (c *configurationController) withdraw(ref release.Ref) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.Withdraw(ref)
+	if known := c.loaded[ref.Number]; known != nil && known.ref.Matches(ref) && ref.Number > c.tracker.Accepted().Number {
+		delete(c.loaded, ref.Number)
+	}
+}
+
+func (c *configurationController) takeRelease(object *platform.Object) (*releaseSpec, bool) {
+	var spec releaseSpec
+	if err := json.Unmarshal(object.Spec, &spec); err != nil {
+		c.logger.Warn("release_object", zap.String("name", object.Metadata.Name), zap.Error(err))
+		return nil, false
+	}
+	c.mu.Lock()
+	inForce := c.tracker.InForce().Number
+	c.mu.Unlock()
+	if spec.Number > inForce && spec.Number >= c.newest() {
+		c.load(spec.ref(), spec.Body)
+	}
+	// The release is announced once it is loaded: an instance that asked earlier
+	// would find no peer with it and read the whole body from the platform.
+	c.mu.Lock()
+	c.observePrepared(spec.ref())
+	c.mu.Unlock()
+	return &spec, true
+}
--- a/internal/controller/publication.go
+++ b/internal/controller/publication.go
@@ -6,12 +6,10 @@
 	"fmt"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
-	"burdockrelay.example/burdockrelay/common"
 	"burdockrelay.example/burdockrelay/internal/admin"
 	"burdockrelay.example/burdockrelay/internal/config"
 	"burdockrelay.example/burdockrelay/internal/decision/release"
@@ -44,12 +42,6 @@
 	return &publicationController{core: c, one: make(chan struct{}, 1)}
 }
 
-// pointerState is the pointer object as read from the platform.
-type pointerState struct {
-	spec    pointerSpec
-	version string
-}
-
 // publishing is one publication under way.
 type publishing struct {
 	*publicationController
@@ -65,11 +57,6 @@
 	conflict *config.Release
 }
 
-type seenReport struct {
-	version string
-	at      time.Duration
-}
-
 func (p *publicationController) publish(ctx context.Context, c *config.Configuration, base uint64, info config.ReleaseInfo) (admin.PublishResult, error) {
 	select {
 	case p.one <- struct{}{}:
@@ -125,114 +112,6 @@
 	return admin.PublishResult{}, nil
 }
 
-// readPointerState reads the pointer, or creates it as "no release yet", so that
-// each move of it is a conditional update.
-func (p *publishing) readPointerState(ctx context.Context) error {
-	object, err := p.platform.Get(ctx, platform.Pointers, pointerName)
-	if code, _ := resultcode.Of(err); err != nil && code == resultcode.PlatformNotFound {
-		empty, encodeErr := platform.NewObject("Pointer", pointerName, "", pointerSpec{})
-		if encodeErr != nil {
-			return encodeErr
-		}
-		// Another publisher may create it first; the read shows either one.
-		_, _ = p.platform.Create(ctx, platform.Pointers, empty)
-		object, err = p.platform.Get(ctx, platform.Pointers, pointerName)
-	}
-	if err != nil {
-		return err
-	}
-	return p.takePointerState(object)
-}
-
-func (p *publishing) takePointerState(object *platform.Object) error {
-	var spec pointerSpec
-	if err := json.Unmarshal(object.Spec, &spec); err != nil {
-		return resultcode.Errorf(resultcode.PlatformBadAnswer, "decode pointer: %w", err)
-	}
-	p.pointer = pointerState{spec: spec, version: object.Metadata.ResourceVersion}
-	return nil
-}
-
-// readRelease returns a release of the platform, nil for number 0.
-func (p *publishing) readRelease(ctx context.Context, number uint64) (*config.Release, error) {
-	if number == 0 {
-		return nil, nil
-	}
-	spec, err := p.readReleaseSpec(ctx, number)
-	if err != nil {
-		return nil, err
-	}
-	return decodeBody(spec.ref(), spec.Body)
-}
-
-func (p *publicationController) readReleaseSpec(ctx context.Context, number uint64) (*releaseSpec, error) {
-	object, err := p.platform.Get(ctx, platform.Releases, strconv.FormatUint(number, 10))
-	if err != nil {
-		return nil, err
-	}
-	var spec releaseSpec
-	if err := json.Unmarshal(object.Spec, &spec); err != nil {
-		return nil, resultcode.Errorf(resultcode.PlatformBadAnswer, "decode release %d: %w", number, err)
-	}
-	return &spec, nil
-}
-
-// removeAbandoned removes a release whose publisher has gone, once it has been
-// known for longer than any publication takes.
-func (p *publishing) removeAbandoned(ctx context.Context) error {
-	p.mu.Lock()
-	prepared := p.tracker.Prepared()
-	old := p.now()-p.preparedSince >= abandonedAfter
-	p.mu.Unlock()
-	if !old || prepared.Number != p.pointer.spec.Number+1 {
-		return nil
-	}
-	p.logger.Warn("abandoned_release_removed", zap.Uint64("release", prepared.Number))
-	return p.withdrawRelease(ctx, prepared.Number)
-}
-
-// withdrawRelease raises the count of withdrawn releases at the pointer, which
-// refuses any move based on its older version, then removes the release.
-func (p *publishing) withdrawRelease(ctx context.Context, number uint64) error {
-	spec := p.pointer.spec
-	spec.Withdrawn++
-	object, err := platform.NewObject("Pointer", pointerName, p.pointer.version, spec)
-	if err != nil {
-		return err
-	}
-	updated, err := p.platform.Update(ctx, platform.Pointers, object)
-	if err != nil {
-		return err
-	}
-	if err := p.takePointerState(updated); err != nil {
-		return err
-	}
-	return p.platform.Delete(ctx, platform.Releases, strconv.FormatUint(number, 10))
-}
-
-// baseConflict tells the operator what was published since the base.
-func (p *publishing) baseConflict(ctx context.Context, base uint64) admin.PublishResult {
-	old, err := p.readRelease(ctx, base)
-	if err != nil {
-		p.logger.Info("conflict_base_not_read", zap.Uint64("release", base), zap.Error(err))
-	}
-	return conflictResult(old, p.previous)
-}
-
-func conflictResult(from, to *config.Release) admin.PublishResult {
-	result := admin.PublishResult{Code: resultcode.PublishConflict, Message: "another release was published in between"}
-	if to == nil {
-		return result
-	}
-	result.Message = fmt.Sprintf("release %d of %s came in between", to.Number, to.Author)
-	result.Conflict = &admin.Conflict{Release: to.Number, Author: to.Author}
-	if from == nil {
-		from = &config.Release{}
-	}
-	result.Conflict.Changes = config.Diff(from, to)
-	return result
-}
-
 // run performs the steps until the outcome is final or the time is over.
 func (p *publishing) run(ctx context.Context) admin.PublishResult {
 	for !p.state.Finished() && ctx.Err() == nil {
@@ -301,131 +180,6 @@
 	sleep(ctx, jitter(writeRetryInterval))
 }
 
-func (p *publishing) readBackRelease(ctx context.Context) {
-	p.readBack(ctx, p.state.ReadRelease)
-}
-
-func (p *publishing) readBackAccepted(ctx context.Context) {
-	p.readBack(ctx, p.state.ReadAccepted)
-}
-
-// readBack reads the release object of the own number and tells the publication.
-func (p *publishing) readBack(ctx context.Context, tell func(found bool, ref release.Ref)) {
-	ref := p.state.Ref()
-	spec, err := p.readReleaseSpec(ctx, ref.Number)
-	if code, _ := resultcode.Of(err); err != nil && code != resultcode.PlatformNotFound {
-		p.retryPause(ctx, "read_release", err)
-		return
-	}
-	if err != nil {
-		tell(false, release.Ref{})
-		return
-	}
-	tell(true, spec.ref())
-	if p.state.Step() == release.StepConflict {
-		p.conflict, _ = decodeBody(spec.ref(), spec.Body)
-	}
-}
-
-// await reads the watchers' reports and judges them.
-func (p *publishing) await(ctx context.Context) {
-	sleep(ctx, ackPollInterval)
-	list, err := p.platform.List(ctx, platform.Acknowledgements)
-	if err != nil {
-		p.retryPause(ctx, "read_acknowledgements", err)
-		return
-	}
-	p.verdict = release.Judge(p.state.Ref(), p.groupsOf(list))
-	if p.verdict.Decision == release.Accept && p.verdict.Acknowledged == 0 {
-		return
-	}
-	p.state.Judged(p.verdict.Decision)
-}
-
-// groupsOf collects the newest reports by group. A group without a recent report
-// counts as leased until its lease has run out since the publication began.
-func (p *publishing) groupsOf(list *platform.List) []release.Group {
-	groups := p.listedGroups()
-	for i := range list.Items {
-		object := &list.Items[i]
-		if object.Kind == groupKind {
-			continue
-		}
-		var report reportSpec
-		if err := json.Unmarshal(object.Spec, &report); err != nil {
-			p.logger.Warn("report_object", zap.String("name", object.Metadata.Name), zap.Error(err))
-			continue
-		}
-		if !p.recent(object) {
-			continue
-		}
-		group := groups[report.Group]
-		if group == nil {
-			group = &release.Group{}
-			groups[report.Group] = group
-		}
-		group.Leased = true
-		addReport(group, &report)
-	}
-	return flatten(groups, p.now()-p.started < groupLease)
-}
-
-func flatten(groups map[string]*release.Group, starting bool) []release.Group {
-	all := make([]release.Group, 0, len(groups))
-	for _, group := range groups {
-		group.Leased = group.Leased || starting
-		// An instance that any watcher sees alive is not dead.
-		group.Dead = slices.DeleteFunc(group.Dead, func(id common.InstanceID) bool {
-			return slices.Contains(group.Alive, id)
-		})
-		all = append(all, *group)
-	}
-	return all
-}
-
-// recent reports whether the object has changed within the group lease, by the
-// local monotonic clock.
-func (p *publishing) recent(object *platform.Object) bool {
-	seen, found := p.reports[object.Metadata.Name]
-	if !found || seen.version != object.Metadata.ResourceVersion {
-		p.reports[object.Metadata.Name] = seenReport{object.Metadata.ResourceVersion, p.now()}
-		return true
-	}
-	return p.now()-seen.at < groupLease
-}
-
-func (p *publishing) listedGroups() map[string]*release.Group {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	groups := map[string]*release.Group{}
-	for _, info := range p.list {
-		if groups[info.group] == nil {
-			groups[info.group] = &release.Group{}
-		}
-		if !info.leaving {
-			groups[info.group].Listed = append(groups[info.group].Listed, info.id)
-		}
-	}
-	return groups
-}
-
-func addReport(group *release.Group, report *reportSpec) {
-	for _, name := range report.Alive {
-		group.Alive = append(group.Alive, common.InstanceIDOf(name))
-	}
-	for _, name := range report.Dead {
-		group.Dead = append(group.Dead, common.InstanceIDOf(name))
-	}
-	for _, ack := range report.Acks {
-		group.Acks = append(group.Acks, release.Ack{
-			Instance: common.InstanceIDOf(ack.Instance),
-			Ref:      release.Ref{Number: ack.Number, Hash: ack.Hash},
-			Code:     resultcode.Code(ack.ResultCode),
-			InForce:  ack.InForce,
-		})
-	}
-}
-
 func (p *publishing) move(ctx context.Context) {
 	ref := p.state.Ref()
 	spec := pointerSpec{Number: ref.Number, Hash: ref.Hash, Withdrawn: p.pointer.spec.Withdrawn}
@@ -437,24 +191,6 @@
 	p.state.Moved(outcomeOf(err))
 }
 
-func (p *publishing) readBackPointer(ctx context.Context) {
-	object, err := p.platform.Get(ctx, platform.Pointers, pointerName)
-	if err != nil {
-		p.retryPause(ctx, "read_pointer", err)
-		return
-	}
-	var spec pointerSpec
-	if err := json.Unmarshal(object.Spec, &spec); err != nil {
-		p.retryPause(ctx, "read_pointer", err)
-		return
-	}
-	unchanged := object.Metadata.ResourceVersion == p.pointer.version
-	p.state.ReadPointer(release.Ref{Number: spec.Number, Hash: spec.Hash}, unchanged)
-	if p.state.Step() == release.StepConflict {
-		p.conflict, _ = p.readRelease(ctx, spec.Number)
-	}
-}
-
 // timedOut ends a publication whose time is over. Before the pointer may have
 // moved, the release is withdrawn and the outcome is certain.
 func (p *publishing) timedOut() admin.PublishResult {
@@ -548,31 +284,6 @@
 	}
 }
 
-func (p *publishing) names(ids []common.InstanceID) string {
-	names := make([]string, 0, len(ids))
-	for _, id := range ids {
-		names = append(names, p.name(id))
-	}
-	return strings.Join(names, ", ")
-}
-
-// name returns the name of an instance as far as it is known.
-func (c *core) name(id common.InstanceID) string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, info := range c.list {
-		if info.id == id {
-			return info.name
-		}
-	}
-	for _, member := range c.machine.Members() {
-		if member.ID == id {
-			return member.Name
-		}
-	}
-	return fmt.Sprintf("instance %d", id)
-}
-
 // history lists accepted releases, newest first.
 func (p *publicationController) history(ctx context.Context, limit int) ([]*releaseRecord, error) {
 	list, err := p.platform.List(ctx, platform.Releases)
--- /dev/null
+++ b/internal/controller/publication_groups.go
@@ -0,0 +1,146 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/decision/release"
+	"burdockrelay.example/burdockrelay/internal/platform"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+)
+
+type seenReport struct {
+	version string
+	at      time.Duration
+}
+
+// await reads the watchers' reports and judges them.
+func (p *publishing) await(ctx context.Context) {
+	sleep(ctx, ackPollInterval)
+	list, err := p.platform.List(ctx, platform.Acknowledgements)
+	if err != nil {
+		p.retryPause(ctx, "read_acknowledgements", err)
+		return
+	}
+	p.verdict = release.Judge(p.state.Ref(), p.groupsOf(list))
+	if p.verdict.Decision == release.Accept && p.verdict.Acknowledged == 0 {
+		return
+	}
+	p.state.Judged(p.verdict.Decision)
+}
+
+// groupsOf collects the newest reports by group. A group without a recent report
+// counts as leased until its lease has run out since the publication began.
+func (p *publishing) groupsOf(list *platform.List) []release.Group {
+	groups := p.listedGroups()
+	for i := range list.Items {
+		object := &list.Items[i]
+		if object.Kind == groupKind {
+			continue
+		}
+		var report reportSpec
+		if err := json.Unmarshal(object.Spec, &report); err != nil {
+			p.logger.Warn("report_object", zap.String("name", object.Metadata.Name), zap.Error(err))
+			continue
+		}
+		if !p.recent(object) {
+			continue
+		}
+		group := groups[report.Group]
+		if group == nil {
+			group = &release.Group{}
+			groups[report.Group] = group
+		}
+		group.Leased = true
+		addReport(group, &report)
+	}
+	return flatten(groups, p.now()-p.started < groupLease)
+}
+
+func flatten(groups map[string]*release.Group, starting bool) []release.Group {
+	all := make([]release.Group, 0, len(groups))
+	for _, group := range groups {
+		group.Leased = group.Leased || starting
+		// An instance that any watcher sees alive is not dead.
+		group.Dead = slices.DeleteFunc(group.Dead, func(id common.InstanceID) bool {
+			return slices.Contains(group.Alive, id)
+		})
+		all = append(all, *group)
+	}
+	return all
+}
+
+// recent reports whether the object has changed within the group lease, by the
+// local monotonic clock.
+func (p *publishing) recent(object *platform.Object) bool {
+	seen, found := p.reports[object.Metadata.Name]
+	if !found || seen.version != object.Metadata.ResourceVersion {
+		p.reports[object.Metadata.Name] = seenReport{object.Metadata.ResourceVersion, p.now()}
+		return true
+	}
+	return p.now()-seen.at < groupLease
+}
+
+func (p *publishing) listedGroups() map[string]*release.Group {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	groups := map[string]*release.Group{}
+	for _, info := range p.list {
+		if groups[info.group] == nil {
+			groups[info.group] = &release.Group{}
+		}
+		if !info.leaving {
+			groups[info.group].Listed = append(groups[info.group].Listed, info.id)
+		}
+	}
+	return groups
+}
+
+func addReport(group *release.Group, report *reportSpec) {
+	for _, name := range report.Alive {
+		group.Alive = append(group.Alive, common.InstanceIDOf(name))
+	}
+	for _, name := range report.Dead {
+		group.Dead = append(group.Dead, common.InstanceIDOf(name))
+	}
+	for _, ack := range report.Acks {
+		group.Acks = append(group.Acks, release.Ack{
+			Instance: common.InstanceIDOf(ack.Instance),
+			Ref:      release.Ref{Number: ack.Number, Hash: ack.Hash},
+			Code:     resultcode.Code(ack.ResultCode),
+			InForce:  ack.InForce,
+		})
+	}
+}
+
+func (p *publishing) names(ids []common.InstanceID) string {
+	names := make([]string, 0, len(ids))
+	for _, id := range ids {
+		names = append(names, p.name(id))
+	}
+	return strings.Join(names, ", ")
+}
+
+// name returns the name of an instance as far as it is known.
+func (c *core) name(id common.InstanceID) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, info := range c.list {
+		if info.id == id {
+			return info.name
+		}
+	}
+	for _, member := range c.machine.Members() {
+		if member.ID == id {
+			return member.Name
+		}
+	}
+	return fmt.Sprintf("instance %d", id)
+}
--- /dev/null
+++ b/internal/controller/publication_read.go
@@ -0,0 +1,174 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"go.uber.org/zap"
+
+	"burdockrelay.example/burdockrelay/internal/admin"
+	"burdockrelay.example/burdockrelay/internal/config"
+	"burdockrelay.example/burdockrelay/internal/decision/release"
+	"burdockrelay.example/burdockrelay/internal/platform"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+)
+
+// pointerState is the pointer object as read from the platform.
+type pointerState struct {
+	spec    pointerSpec
+	version string
+}
+
+// readPointerState reads the pointer, or creates it as "no release yet", so that
+// each move of it is a conditional update.
+func (p *publishing) readPointerState(ctx context.Context) error {
+	object, err := p.platform.Get(ctx, platform.Pointers, pointerName)
+	if code, _ := resultcode.Of(err); err != nil && code == resultcode.PlatformNotFound {
+		empty, encodeErr := platform.NewObject("Pointer", pointerName, "", pointerSpec{})
+		if encodeErr != nil {
+			return encodeErr
+		}
+		// Another publisher may create it first; the read shows either one.
+		_, _ = p.platform.Create(ctx, platform.Pointers, empty)
+		object, err = p.platform.Get(ctx, platform.Pointers, pointerName)
+	}
+	if err != nil {
+		return err
+	}
+	return p.takePointerState(object)
+}
+
+func (p *publishing) takePointerState(object *platform.Object) error {
+	var spec pointerSpec
+	if err := json.Unmarshal(object.Spec, &spec); err != nil {
+		return resultcode.Errorf(resultcode.PlatformBadAnswer, "decode pointer: %w", err)
+	}
+	p.pointer = pointerState{spec: spec, version: object.Metadata.ResourceVersion}
+	return nil
+}
+
+// readRelease returns a release of the platform, nil for number 0.
+func (p *publishing) readRelease(ctx context.Context, number uint64) (*config.Release, error) {
+	if number == 0 {
+		return nil, nil
+	}
+	spec, err := p.readReleaseSpec(ctx, number)
+	if err != nil {
+		return nil, err
+	}
+	return decodeBody(spec.ref(), spec.Body)
+}
+
+func (p *publicationController) readReleaseSpec(ctx context.Context, number uint64) (*releaseSpec, error) {
+	object, err := p.platform.Get(ctx, platform.Releases, strconv.FormatUint(number, 10))
+	if err != nil {
+		return nil, err
+	}
+	var spec releaseSpec
+	if err := json.Unmarshal(object.Spec, &spec); err != nil {
+		return nil, resultcode.Errorf(resultcode.PlatformBadAnswer, "decode release %d: %w", number, err)
+	}
+	return &spec, nil
+}
+
+// removeAbandoned removes a release whose publisher has gone, once it has been
+// known for longer than any publication takes.
+func (p *publishing) removeAbandoned(ctx context.Context) error {
+	p.mu.Lock()
+	prepared := p.tracker.Prepared()
+	old := p.now()-p.preparedSince >= abandonedAfter
+	p.mu.Unlock()
+	if !old || prepared.Number != p.pointer.spec.Number+1 {
+		return nil
+	}
+	p.logger.Warn("abandoned_release_removed", zap.Uint64("release", prepared.Number))
+	return p.withdrawRelease(ctx, prepared.Number)
+}
+
+// withdrawRelease raises the count of withdrawn releases at the pointer, which
+// refuses any move based on its older version, then removes the release.
+func (p *publishing) withdrawRelease(ctx context.Context, number uint64) error {
+	spec := p.pointer.spec
+	spec.Withdrawn++
+	object, err := platform.NewObject("Pointer", pointerName, p.pointer.version, spec)
+	if err != nil {
+		return err
+	}
+	updated, err := p.platform.Update(ctx, platform.Pointers, object)
+	if err != nil {
+		return err
+	}
+	if err := p.takePointerState(updated); err != nil {
+		return err
+	}
+	return p.platform.Delete(ctx, platform.Releases, strconv.FormatUint(number, 10))
+}
+
+// baseConflict tells the operator what was published since the base.
+func (p *publishing) baseConflict(ctx context.Context, base uint64) admin.PublishResult {
+	old, err := p.readRelease(ctx, base)
+	if err != nil {
+		p.logger.Info("conflict_base_not_read", zap.Uint64("release", base), zap.Error(err))
+	}
+	return conflictResult(old, p.previous)
+}
+
+func conflictResult(from, to *config.Release) admin.PublishResult {
+	result := admin.PublishResult{Code: resultcode.PublishConflict, Message: "another release was published in between"}
+	if to == nil {
+		return result
+	}
+	result.Message = fmt.Sprintf("release %d of %s came in between", to.Number, to.Author)
+	result.Conflict = &admin.Conflict{Release: to.Number, Author: to.Author}
+	if from == nil {
+		from = &config.Release{}
+	}
+	result.Conflict.Changes = config.Diff(from, to)
+	return result
+}
+
+func (p *publishing) readBackRelease(ctx context.Context) {
+	p.readBack(ctx, p.state.ReadRelease)
+}
+
+func (p *publishing) readBackAccepted(ctx context.Context) {
+	p.readBack(ctx, p.state.ReadAccepted)
+}
+
+// readBack reads the release object of the own number and tells the publication.
+func (p *publishing) readBack(ctx context.Context, tell func(found bool, ref release.Ref)) {
+	ref := p.state.Ref()
+	spec, err := p.readReleaseSpec(ctx, ref.Number)
+	if code, _ := resultcode.Of(err); err != nil && code != resultcode.PlatformNotFound {
+		p.retryPause(ctx, "read_release", err)
+		return
+	}
+	if err != nil {
+		tell(false, release.Ref{})
+		return
+	}
+	tell(true, spec.ref())
+	if p.state.Step() == release.StepConflict {
+		p.conflict, _ = decodeBody(spec.ref(), spec.Body)
+	}
+}
+
+func (p *publishing) readBackPointer(ctx context.Context) {
+	object, err := p.platform.Get(ctx, platform.Pointers, pointerName)
+	if err != nil {
+		p.retryPause(ctx, "read_pointer", err)
+		return
+	}
+	var spec pointerSpec
+	if err := json.Unmarshal(object.Spec, &spec); err != nil {
+		p.retryPause(ctx, "read_pointer", err)
+		return
+	}
+	unchanged := object.Metadata.ResourceVersion == p.pointer.version
+	p.state.ReadPointer(release.Ref{Number: spec.Number, Hash: spec.Hash}, unchanged)
+	if p.state.Step() == release.StepConflict {
+		p.conflict, _ = p.readRelease(ctx, spec.Number)
+	}
+}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -8,10 +8,8 @@
 	"fmt"
 	"io"
 	"slices"
-	"strings"
 	"time"
 
-	"burdockrelay.example/burdockrelay/internal/config"
 	"burdockrelay.example/burdockrelay/internal/resultcode"
 	"burdockrelay.example/burdockrelay/internal/settings"
 	"burdockrelay.example/burdockrelay/proto/adminpb"
@@ -258,128 +256,6 @@
 	return nil
 }
 
-func (c *command) check(ctx context.Context) error {
-	files, err := readFiles(c.arguments)
-	if err != nil {
-		return err
-	}
-	configuration, faults := config.Parse(files)
-	if len(faults) > 0 {
-		return c.faults(faults)
-	}
-	if c.online {
-		if err := c.checkOnline(ctx, files); err != nil {
-			return err
-		}
-	}
-	if c.output == "json" {
-		c.printJSON(map[string]any{"faults": []config.Fault{}, "hash": configuration.Hash()})
-		return nil
-	}
-	fmt.Fprintf(c.Stdout, "no faults: %d services, %d endpoints\nhash %s\n",
-		len(configuration.Services), endpointCount(configuration), configuration.Hash())
-	return nil
-}
-
-func endpointCount(configuration *config.Configuration) int {
-	count := 0
-	for i := range configuration.BackendSets {
-		count += len(configuration.BackendSets[i].Endpoints)
-	}
-	return count
-}
-
-func (c *command) checkOnline(ctx context.Context, files []config.File) error {
-	ctx, cancel := context.WithTimeout(ctx, c.client.Timeout)
-	defer cancel()
-	response, err := c.api.Check(ctx, &adminpb.CheckRequest{Files: toProto(files)})
-	if err != nil {
-		return err
-	}
-	if len(response.GetFaults()) > 0 {
-		return c.faults(fromProto(response.GetFaults()))
-	}
-	return nil
-}
-
-// faults prints the faults and returns the error of a failed check.
-func (c *command) faults(faults []config.Fault) error {
-	if c.output == "json" {
-		c.printJSON(map[string]any{"faults": faults})
-		return &failure{exit: ExitFaults}
-	}
-	for _, fault := range faults {
-		if fault.File == "" {
-			fmt.Fprintf(c.Stdout, "code %d: %s; %s\n", fault.Code, fault.Message, fault.Advice)
-			continue
-		}
-		fmt.Fprintln(c.Stdout, fault)
-	}
-	return failed(ExitFaults, faults[0].Code, "%d faults; nothing was published", len(faults))
-}
-
-func (c *command) diff(ctx context.Context) error {
-	files, err := c.checkedFiles()
-	if err != nil {
-		return err
-	}
-	response, err := c.remoteDiff(ctx, files)
-	if err != nil {
-		return err
-	}
-	if c.output == "json" {
-		return c.printProto(response)
-	}
-	c.printChanges(response)
-	return nil
-}
-
-// checkedFiles reads the files and checks them before anything is sent.
-func (c *command) checkedFiles() ([]config.File, error) {
-	files, err := readFiles(c.arguments)
-	if err != nil {
-		return nil, err
-	}
-	if _, faults := config.Parse(files); len(faults) > 0 {
-		return nil, c.faults(faults)
-	}
-	return files, nil
-}
-
-func (c *command) remoteDiff(ctx context.Context, files []config.File) (*adminpb.DiffResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.client.Timeout)
-	defer cancel()
-	response, err := c.api.Diff(ctx, &adminpb.DiffRequest{Files: toProto(files)})
-	if err != nil {
-		return nil, err
-	}
-	if len(response.GetFaults()) > 0 {
-		return nil, c.faults(fromProto(response.GetFaults()))
-	}
-	return response, nil
-}
-
-func (c *command) printChanges(response *adminpb.DiffResponse) {
-	if len(response.GetChanges()) == 0 {
-		fmt.Fprintf(c.Stdout, "no changes from release %d\n", response.GetRelease())
-		return
-	}
-	fmt.Fprintf(c.Stdout, "%d changes from release %d\n", len(response.GetChanges()), response.GetRelease())
-	c.changeLines(response.GetChanges())
-}
-
-func (c *command) changeLines(changes []*adminpb.Change) {
-	signs := map[string]string{config.ActionAdded: "+", config.ActionRemoved: "-", config.ActionChanged: "~"}
-	for _, change := range changes {
-		fmt.Fprintf(c.Stdout, "%s %s %s\n", signs[change.GetAction()], printable(change.GetKind()), printable(change.GetName()))
-		for detail := range strings.SplitSeq(change.GetDetail(), "; ") {
-			if detail != "" {
-				fmt.Fprintf(c.Stdout, "    %s\n", printable(detail))
-			}
-		}
-	}
-}
-
 func (c *command) drain(ctx context.Context) error { return c.setDrain(ctx, true) }
 
 func (c *command) undrain(ctx context.Context) error { return c.setDrain(ctx, false) }
--- a/internal/decision/flow/pull.go
+++ b/internal/decision/flow/pull.go
@@ -1,6 +1,8 @@
 package flow
 
 import (
+	"slices"
+
 	"burdockrelay.example/burdockrelay/common"
 	"burdockrelay.example/burdockrelay/internal/decision/lookup"
 )
@@ -85,3 +87,70 @@
 	}
 	return most
 }
+
+// PullReplication returns the state of the slots that the joiner owns in the
+// future tables.
+func (s *Shard) PullReplication(t, future *Tables, joiner common.InstanceID) common.ReplicationBatch {
+	batch := common.ReplicationBatch{
+		Target: joiner, Source: t.self, SourceIncarnation: t.Incarnation(),
+	}
+	slots := s.slotsFor(t, future, joiner)
+	if slots.empty() {
+		return batch
+	}
+	for _, service := range t.sortedServices() {
+		batch.Bases = append(batch.Bases, service.table.Base())
+	}
+	batch.SlotBases = s.pulledSlotBases(t, &slots)
+	batch.Exceptions = s.pulledFlows(t, &slots)
+	return batch
+}
+
+// slotsFor returns the slots that this instance owns and the joiner will own.
+func (s *Shard) slotsFor(t, future *Tables, joiner common.InstanceID) slotSet {
+	var slots slotSet
+	for local := range s.slots {
+		if moves(t, future, joiner, s.number(local)) {
+			slots.add(local)
+		}
+	}
+	return slots
+}
+
+func (s *Shard) pulledSlotBases(t *Tables, slots *slotSet) []common.SlotBase {
+	var keys []slotService
+	for key := range s.slotBases {
+		if slots.has(int(key.slot%shardSlots)) && t.service(key.service) != nil {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, compareSlotService)
+	var bases []common.SlotBase
+	var described slotBaseEncoder
+	for _, key := range keys {
+		base := s.slotBases[key].table
+		if !base.Same(t.service(key.service).table) {
+			bases = append(bases, described.encode(key, base))
+		}
+	}
+	return bases
+}
+
+func (s *Shard) pulledFlows(t *Tables, slots *slotSet) []common.ExceptionGroup {
+	var groups exceptionGroups
+	for i := range s.table.entries {
+		e := &s.table.entries[i]
+		if !e.has(flagUsed) || e.has(flagHeld) || !slots.has(localSlot(e.hash)) {
+			continue
+		}
+		service := t.service(e.service)
+		if service == nil {
+			continue
+		}
+		base := s.wantedBase(service, slotService{e.hash.Slot(), e.service})
+		if base.Default(e.hash.Bucket()) != e.endpoint {
+			groups.add(e.service, e.endpoint, e.hash)
+		}
+	}
+	return groups.list
+}
--- a/internal/decision/flow/replicate.go
+++ b/internal/decision/flow/replicate.go
@@ -39,131 +39,12 @@
 	MaxBatchBytes int
 }
 
-// target is an instance that gets reports from this shard. At most one batch is
-// under way to it, so that updates of one flow arrive in their order.
-type target struct {
-	incarnation uint64
-	// bases and slotBases are the tables that the target has acknowledged.
-	bases     map[common.ServiceID]*lookup.Table
-	slotBases map[slotService]*lookup.Table
-	// services are the ones that the target needs bases of.
-	services    map[common.ServiceID]bool
-	resets      slotSet
-	withdrawals []withdrawal
-	sent        *sentBatch
-}
-
-// withdrawal is a reported flow that has ended.
-type withdrawal struct {
-	service  common.ServiceID
-	endpoint common.EndpointID
-	hash     common.FlowHash
-}
-
-// sentBatch is a batch without acknowledgement.
-type sentBatch struct {
-	batch common.ReplicationBatch
-	bytes int
-	// saved is what the references to tables save.
-	saved     int
-	at        time.Duration
-	flows     []sentFlow
-	bases     map[common.ServiceID]*lookup.Table
-	slotBases map[slotService]*lookup.Table
-}
-
-type sentFlow struct {
-	position uint32
-	hash     common.FlowHash
-	endpoint common.EndpointID
-}
-
-// queued refers to a flow that may need a report.
-type queued struct {
-	position uint32
-	hash     common.FlowHash
-	// order is the age of the flow; flows of lost slots come before others.
-	order time.Duration
-}
-
 // ShardOfSequence returns the shard that a batch came from and goes to. Batches
 // with sequence 0 answer a pull and go to all shards.
 func ShardOfSequence(sequence uint64) int {
 	return int(sequence % Shards)
 }
 
-func (s *Shard) target(id common.InstanceID, incarnation uint64) *target {
-	g := s.targets[id]
-	if g == nil || g.incarnation != incarnation {
-		fresh := &target{
-			incarnation: incarnation,
-			bases:       make(map[common.ServiceID]*lookup.Table),
-			slotBases:   make(map[slotService]*lookup.Table),
-			services:    make(map[common.ServiceID]bool),
-		}
-		if g != nil {
-			fresh.keep(g)
-		}
-		g = fresh
-		s.targets[id] = g
-	}
-	return g
-}
-
-// keep carries over what a target with a new incarnation must still be told: it
-// may have kept what it held.
-func (g *target) keep(before *target) {
-	g.withdrawals = before.withdrawals
-	g.resets = before.resets
-	if before.sent == nil {
-		return
-	}
-	for _, group := range before.sent.batch.Exceptions {
-		g.keepGroup(group)
-	}
-}
-
-func (g *target) keepGroup(group common.ExceptionGroup) {
-	switch {
-	case !group.Withdrawn:
-	case group.Endpoint == 0:
-		for i := range g.resets {
-			g.resets[i] |= uint64(group.Hashes[i])
-		}
-	default:
-		for _, hash := range group.Hashes {
-			g.withdrawals = append(g.withdrawals, withdrawal{group.Service, group.Endpoint, hash})
-		}
-	}
-}
-
-func (s *Shard) slotTarget(state *slotState) *target {
-	if state.target == 0 {
-		return nil
-	}
-	return s.target(state.target, state.targetIncarnation)
-}
-
-// acked returns the table that the target resolves unknown flows with, nil when
-// it has not acknowledged one.
-func (g *target) acked(key slotService) *lookup.Table {
-	if table := g.slotBases[key]; table != nil {
-		return table
-	}
-	return g.bases[key.service]
-}
-
-// underWay returns a table that the target may have received.
-func (g *target) underWay(key slotService) *lookup.Table {
-	if g.sent == nil {
-		return nil
-	}
-	if table, found := g.sent.slotBases[key]; found && table != nil {
-		return table
-	}
-	return g.sent.bases[key.service]
-}
-
 // needsReport reports whether the target of the flow's slot could resolve it to
 // a wrong endpoint.
 func (s *Shard) needsReport(t *Tables, e *entry) bool {
@@ -283,24 +164,6 @@
 	return e.opened
 }
 
-// forgetTargets drops targets that need nothing any more.
-func (s *Shard) forgetTargets(t *Tables) {
-	needed := make(map[common.InstanceID]bool)
-	for local := range s.slots {
-		if s.slots[local].owner == t.self {
-			needed[s.slots[local].target] = true
-		}
-	}
-	for _, item := range s.queue {
-		needed[s.slot(item.hash).target] = true
-	}
-	for id := range s.targets {
-		if !needed[id] {
-			delete(s.targets, id)
-		}
-	}
-}
-
 // TakeReplication returns the updates that are due for other instances, within
 // the budget. A batch that is not acknowledged is returned again later.
 func (s *Shard) TakeReplication(t *Tables, now time.Duration, budget *Budget) []common.ReplicationBatch {
@@ -320,15 +183,6 @@
 	return batches
 }
 
-func (s *Shard) targetIDs() []common.InstanceID {
-	ids := make([]common.InstanceID, 0, len(s.targets))
-	for id := range s.targets {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 // compactQueue drops flows that ended or need no report any more.
 func (s *Shard) compactQueue(t *Tables) {
 	kept := s.queue[:0]
@@ -436,70 +290,3 @@
 	}
 	return n
 }
-
-// PullReplication returns the state of the slots that the joiner owns in the
-// future tables.
-func (s *Shard) PullReplication(t, future *Tables, joiner common.InstanceID) common.ReplicationBatch {
-	batch := common.ReplicationBatch{
-		Target: joiner, Source: t.self, SourceIncarnation: t.Incarnation(),
-	}
-	slots := s.slotsFor(t, future, joiner)
-	if slots.empty() {
-		return batch
-	}
-	for _, service := range t.sortedServices() {
-		batch.Bases = append(batch.Bases, service.table.Base())
-	}
-	batch.SlotBases = s.pulledSlotBases(t, &slots)
-	batch.Exceptions = s.pulledFlows(t, &slots)
-	return batch
-}
-
-// slotsFor returns the slots that this instance owns and the joiner will own.
-func (s *Shard) slotsFor(t, future *Tables, joiner common.InstanceID) slotSet {
-	var slots slotSet
-	for local := range s.slots {
-		if moves(t, future, joiner, s.number(local)) {
-			slots.add(local)
-		}
-	}
-	return slots
-}
-
-func (s *Shard) pulledSlotBases(t *Tables, slots *slotSet) []common.SlotBase {
-	var keys []slotService
-	for key := range s.slotBases {
-		if slots.has(int(key.slot%shardSlots)) && t.service(key.service) != nil {
-			keys = append(keys, key)
-		}
-	}
-	slices.SortFunc(keys, compareSlotService)
-	var bases []common.SlotBase
-	var described slotBaseEncoder
-	for _, key := range keys {
-		base := s.slotBases[key].table
-		if !base.Same(t.service(key.service).table) {
-			bases = append(bases, described.encode(key, base))
-		}
-	}
-	return bases
-}
-
-func (s *Shard) pulledFlows(t *Tables, slots *slotSet) []common.ExceptionGroup {
-	var groups exceptionGroups
-	for i := range s.table.entries {
-		e := &s.table.entries[i]
-		if !e.has(flagUsed) || e.has(flagHeld) || !slots.has(localSlot(e.hash)) {
-			continue
-		}
-		service := t.service(e.service)
-		if service == nil {
-			continue
-		}
-		base := s.wantedBase(service, slotService{e.hash.Slot(), e.service})
-		if base.Default(e.hash.Bucket()) != e.endpoint {
-			groups.add(e.service, e.endpoint, e.hash)
-		}
-	}
-	return groups.list
-}
