Steer no flow without a label and drop first packets that waited in a pause

An instance woke from a pause with copies of a first packet in its socket, opened the flow a second time though its caller had gone on through another instance, and moved it to an endpoint that the pool had learnt after the packet's view was loaded. That endpoint has no label in the view, so the packet went out with label 0, the endpoint's answer gave the caller label 0, and the next instance reset the flow (1104).

Ruled out: the check of the soak (trace of the packets), label collisions (none counted).

Changes: only endpoints with a label in the packet's view are chosen; a packet without a label is dropped, never reset; a first packet that may have waited in a pause is dropped unless it is the caller's last copy (1213). store_lost names an age only when something is known.

--- a/internal/decision/selection/selection.go
+++ b/internal/decision/selection/selection.go
@@ -206,13 +206,15 @@
 
 // Choose returns the endpoint for a new flow and counts the flow as a waiting
 // request, or returns nil when no endpoint takes new flows. The endpoint avoid is
-// left out while there is another one. silent are the endpoints that have become
-// suspect: they have not answered an earlier flow in due time.
-func (p *Pool) Choose(now time.Duration, avoid *Member) (chosen *Member, silent []*Member) {
+// left out while there is another one, and so is each one that eligible does not
+// report: the pool may have endpoints that the caller does not know yet. silent are
+// the endpoints that have become suspect: they have not answered an earlier flow in
+// due time.
+func (p *Pool) Choose(now time.Duration, avoid *Member, eligible func(*Member) bool) (chosen *Member, silent []*Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	silent = p.overdue(now)
-	chosen = p.choose(now, avoid)
+	chosen = p.choose(now, avoid, eligible)
 	if chosen != nil {
 		p.opening = append(p.opening, opening{member: chosen, at: now})
 	}
@@ -248,10 +250,10 @@
 	return silent
 }
 
-func (p *Pool) choose(now time.Duration, avoid *Member) *Member {
-	best := p.cheapest(now, avoid)
+func (p *Pool) choose(now time.Duration, avoid *Member, eligible func(*Member) bool) *Member {
+	best := p.cheapest(now, avoid, eligible)
 	if best == nil && avoid != nil {
-		best = p.cheapest(now, nil)
+		best = p.cheapest(now, nil, eligible)
 	}
 	if best == nil {
 		return nil
@@ -262,11 +264,11 @@
 	return best
 }
 
-func (p *Pool) cheapest(now time.Duration, avoid *Member) *Member {
+func (p *Pool) cheapest(now time.Duration, avoid *Member, eligible func(*Member) bool) *Member {
 	var best *Member
 	var least float64
 	for _, m := range p.members {
-		if m == avoid || m.endpoint.Draining {
+		if m == avoid || m.endpoint.Draining || !eligible(m) {
 			continue
 		}
 		cost := p.cost(m, now)
--- a/internal/decision/steering/steering.go
+++ b/internal/decision/steering/steering.go
@@ -125,7 +125,15 @@
 )
 
 // copyTimes are the times after its first packet at which a caller repeats it.
-var copyTimes = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+var copyTimes = [...]time.Duration{0, 200 * time.Millisecond, lastCopyTime}
+
+const (
+	// lastCopyTime is the age of a first packet whose caller sends no more copies.
+	lastCopyTime = 600 * time.Millisecond
+	// backlogTime is how long after a pause packets may be read that waited: the
+	// receive buffer holds some thousand, read within 50 ms on a core with a cap.
+	backlogTime = 100 * time.Millisecond
+)
 
 // Handle decides on a packet.
 func (t *Table) Handle(v *View, p *Packet, fresh Freshness, now time.Duration) Action {
@@ -138,6 +146,14 @@
 	return s.established(v, p, fresh, now)
 }
 
+// waited reports whether a first packet may have waited in the socket during a pause
+// of the process and is not the caller's last copy. The caller may have gone on through
+// another instance; a flow opened here too would give it the label of a second
+// endpoint. The last copy waits only where the earlier ones did.
+func (s *shard) waited(p *Packet, now time.Duration) bool {
+	return s.resumedAt > 0 && now-s.resumedAt < backlogTime && callerAge(p.Copies) < lastCopyTime
+}
+
 func address(t *common.FiveTuple) common.ServiceAddress {
 	return common.ServiceAddress{Address: netip.AddrFrom4(t.Destination), Port: t.DestinationPort, Protocol: t.Protocol}
 }
@@ -151,6 +167,9 @@
 	if f != nil {
 		s.remove(f, now)
 	}
+	if s.waited(p, now) {
+		return dropped(resultcode.DroppedAfterPause)
+	}
 	if r == nil {
 		return noRoute(fresh)
 	}
@@ -167,7 +186,7 @@
 	if len(s.flows) >= s.capacity {
 		return refusal(resultcode.RefusedTableFull)
 	}
-	m, silent := pool.Choose(now, nil)
+	m, silent := pool.Choose(now, nil, v.labelled)
 	if m == nil {
 		return noEndpoint(fresh)
 	}
@@ -237,7 +256,7 @@
 	move := status.Condition == selection.Suspect || f.copies >= copiesBeforeMove || status.Endpoint.Draining || !status.Listed
 	if move && r != nil {
 		if pool := r.pick(p.Hash); pool != nil {
-			to, silent := pool.Choose(now, former)
+			to, silent := pool.Choose(now, former, v.labelled)
 			action.Suspected = append(action.Suspected, silent...)
 			f.move(v, to, now)
 		}
@@ -279,9 +298,10 @@
 }
 
 // unknownLabel handles a packet whose endpoint is not known. It is refused only
-// when the endpoint cannot be one that this instance has not heard of yet.
+// when the endpoint cannot be one that this instance has not heard of yet. A packet
+// without a label says nothing about its endpoint, so its flow may be served.
 func unknownLabel(p *Packet, fresh Freshness) Action {
-	if !fresh.complete(settledForReset) || p.Reset {
+	if !fresh.complete(settledForReset) || p.Reset || p.Label == 0 {
 		return dropped(resultcode.RouteUnknownFlow)
 	}
 	return refusal(resultcode.RouteEndpointGone)
--- a/internal/decision/steering/steering_test.go
+++ b/internal/decision/steering/steering_test.go
@@ -95,6 +95,36 @@
 	}
 }
 
+// Guards against a reset of a flow whose caller has no label to return: its endpoint
+// answered a packet that was sent there without one.
+func TestPacketsWithoutLabelAreDropped(t *testing.T) {
+	i := small()
+	p := packetTo(443, 1000)
+	p.First, p.Label = false, 0
+	if action := i.table.Handle(i.view, &p, settled, time.Second); action.Kind != Drop {
+		t.Errorf("kind %d, want a drop", action.Kind)
+	}
+}
+
+// Guards against a choice of an endpoint that the pool has and the view of the packet
+// does not have yet: the flow would have no label.
+func TestEndpointsWithoutLabelAreNotChosen(t *testing.T) {
+	i := small()
+	earlier := i.view
+	i.world.addEndpoint("desk")
+	i.learn()
+	for source := range uint16(20) {
+		p := packetTo(443, 1000+source)
+		for copies := range uint8(3) {
+			p.Copies = copies
+			now := time.Second + copyTimes[copies]
+			if action := i.table.Handle(earlier, &p, settled, now); action.Kind == Forward && action.Label == 0 {
+				t.Errorf("copy %d of flow %d is sent without a label", copies, source)
+			}
+		}
+	}
+}
+
 // Guards against a full table that refuses packets of open flows with the new ones.
 func TestFullTableRefusesNewFlowsOnly(t *testing.T) {
 	i := small()
@@ -203,6 +233,34 @@
 	}
 }
 
+// Guards against a first packet that waited in the socket and opens its flow again for
+// a caller that may have gone on through another instance, and against a drop of the
+// last copy, or of packets that came after the pause.
+func TestFirstPacketsThatWaitedAreDropped(t *testing.T) {
+	const resumed = 6 * time.Second
+	for _, c := range []struct {
+		name   string
+		copies uint8
+		at     time.Duration
+		kind   Kind
+	}{
+		{"first", 0, resumed, Drop},
+		{"copy", 1, resumed + 90*time.Millisecond, Drop},
+		{"last copy", 2, resumed, Forward},
+		{"after the pause", 0, resumed + 110*time.Millisecond, Forward},
+	} {
+		i := small()
+		i.world.rules.Rules[0].Timeout = 5 * time.Second
+		i.learn()
+		i.table.Paused(i.view, resumed)
+		p := packetTo(443, 1000)
+		p.Copies = c.copies
+		if action := i.table.Handle(i.view, &p, settled, c.at); action.Kind != c.kind {
+			t.Errorf("%s: kind %d code %d, want kind %d", c.name, action.Kind, action.Code, c.kind)
+		}
+	}
+}
+
 // Guards against a flow without an answer that leaves no trace when it expires.
 func TestUnansweredFlowsExpire(t *testing.T) {
 	i := small()
--- a/internal/decision/steering/table.go
+++ b/internal/decision/steering/table.go
@@ -28,6 +28,8 @@
 	mu       sync.Mutex
 	capacity int
 	flows    map[common.FiveTuple]*flow
+	// resumedAt is the end of the last pause of the process, 0 for none.
+	resumedAt time.Duration
 }
 
 // flow is one flow that was opened through this instance.
@@ -191,6 +193,7 @@
 	for i := range t.shards {
 		s := &t.shards[i]
 		s.mu.Lock()
+		s.resumedAt = now
 		for _, f := range s.flows {
 			if f.waiting {
 				f.waiting = false
--- a/internal/decision/steering/view.go
+++ b/internal/decision/steering/view.go
@@ -20,6 +20,8 @@
 	members     []*selection.Member
 	labels      *label.Table
 	ownLabels   map[*selection.Member]label.Label
+	// labelled reports whether a member has a label.
+	labelled func(*selection.Member) bool
 	// pools holds the pools of the members.
 	pools []*selection.Pool
 }
@@ -59,6 +61,7 @@
 	for i, m := range v.members {
 		v.ownLabels[m] = v.labels.Own(i)
 	}
+	v.labelled = func(m *selection.Member) bool { return v.ownLabels[m] != 0 }
 	if configuration == nil {
 		return v
 	}
--- a/internal/discovery/syncer.go
+++ b/internal/discovery/syncer.go
@@ -236,14 +236,16 @@
 		return
 	}
 	s.storeUp = up
-	age, _ := s.plan.Age(s.knowledge.Now())
+	age := zap.Skip()
+	if confirmed, known := s.plan.Age(s.knowledge.Now()); known {
+		age = zap.Duration("age", confirmed)
+	}
 	if up {
-		s.logger.Info("store_regained", zap.Duration("took", took), zap.Duration("age", age))
+		s.logger.Info("store_regained", zap.Duration("took", took), age)
 		return
 	}
 	code, _ := resultcode.Of(err)
-	s.logger.Warn("store_lost", zap.Uint32("result_code", uint32(code)), zap.Duration("took", took),
-		zap.Duration("age", age), zap.Error(err))
+	s.logger.Warn("store_lost", zap.Uint32("result_code", uint32(code)), zap.Duration("took", took), age, zap.Error(err))
 }
 
 // ask asks a peer once.
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -55,6 +55,7 @@
 	DroppedFirstData     Code = 1210
 	DroppedNoTables      Code = 1211
 	DroppedLateCopy      Code = 1212
+	DroppedAfterPause    Code = 1213
 )
 
 // Configuration decoding: 2000-2099.
--- a/standins/estate/router.go
+++ b/standins/estate/router.go
@@ -156,21 +156,22 @@
 	return best
 }
 
-// send sends a packet to an instance and returns its name, "" when it is lost.
-func (r *Router) send(socket *net.UDPConn, p *packet) string {
+// send sends a packet to an instance. chosen is told of the instance before, unless
+// the packet is lost.
+func (r *Router) send(socket *net.UDPConn, p *packet, chosen func(entry string)) {
 	r.mu.Lock()
 	e := r.choose(p)
 	lost := r.lossPercent > 0 && rand.Intn(100) < r.lossPercent
 	delay := r.delay
 	r.mu.Unlock()
 	if e == nil || lost {
-		return ""
+		return
 	}
+	chosen(e.Name)
 	data := p.encode()
 	if delay == 0 {
 		_, _ = socket.WriteToUDPAddrPort(data, e.Packets)
-		return e.Name
+		return
 	}
 	time.AfterFunc(delay, func() { _, _ = socket.WriteToUDPAddrPort(data, e.Packets) })
-	return e.Name
 }
