Renew registrations and remove those that have lapsed

Cause: an instance's object stayed in the store when its machine was lost, so the kind grew with every machine name ever used, and peers that nobody had heard of for ten minutes were dropped only when another one was found.

Ruled out: removal by peers that no longer hear of an instance. At one reader the others hear nothing of each other, so they would remove running ones.

Peers are looked through every 30 s.

Tests: registry_test.go (pages, unreadable entries, failures, unchanged content, renewal, removal, forgetting).

--- a/internal/discovery/metrics.go
+++ b/internal/discovery/metrics.go
@@ -48,7 +48,7 @@
 			return float64(view.Version())
 		}),
 		gauge("burdock_peers", "Other instances heard of lately.", func() float64 {
-			return float64(len(peers.Names(knowledge.Now())))
+			return float64(peers.Count())
 		}),
 	)
 	return m
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -1,7 +1,9 @@
 package discovery
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,19 +67,20 @@
 	return false
 }
 
-// Names returns the names of the peers heard of lately.
-func (p *Peers) Names(now time.Duration) []string {
+// Names returns the names of the known peers.
+func (p *Peers) Names() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	names := make([]string, 0, len(p.known))
-	for name, entry := range p.known {
-		if now-entry.heardAt >= peerLife {
-			delete(p.known, name)
-			continue
-		}
-		names = append(names, name)
-	}
-	return names
+	return slices.Collect(maps.Keys(p.known))
+}
+
+// Forget drops the peers that nobody has heard of for a time and returns their number.
+func (p *Peers) Forget(now time.Duration) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := len(p.known)
+	maps.DeleteFunc(p.known, func(_ string, entry *peerEntry) bool { return now-entry.heardAt >= peerLife })
+	return before - len(p.known)
 }
 
 // Count returns the number of peers heard of.
--- /dev/null
+++ b/internal/discovery/registry_test.go
@@ -0,0 +1,273 @@
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdockrelay.example/burdockrelay/internal/objectstore"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+	"burdockrelay.example/burdockrelay/proto/syncpb"
+)
+
+// memoryStore is a store in memory that lists two objects at a time. Registries do not
+// watch.
+type memoryStore struct {
+	objectstore.Store
+
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]objectstore.Object
+	writes   int
+	// failures is the number of calls that fail before one succeeds.
+	failures int
+}
+
+func newMemoryStore() *memoryStore { return &memoryStore{objects: map[string]objectstore.Object{}} }
+
+// fail reports whether a call fails. The caller holds mu.
+func (s *memoryStore) fail() error {
+	if s.failures == 0 {
+		return nil
+	}
+	s.failures--
+	return resultcode.Errorf(resultcode.PlatformUnreachable, "no answer")
+}
+
+func (s *memoryStore) put(o objectstore.Object) objectstore.Object {
+	s.revision++
+	s.writes++
+	o.Revision = s.revision
+	s.objects[o.Name] = o
+	return o
+}
+
+func (s *memoryStore) Create(_ context.Context, o objectstore.Object) (objectstore.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.fail(); err != nil {
+		return objectstore.Object{}, err
+	}
+	if present, found := s.objects[o.Name]; found {
+		return present, resultcode.Errorf(resultcode.PlatformExists, "already exists")
+	}
+	return s.put(o), nil
+}
+
+func (s *memoryStore) Update(_ context.Context, o objectstore.Object) (objectstore.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.put(o), nil
+}
+
+func (s *memoryStore) Delete(_ context.Context, _, name string, revision uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.objects[name].Revision != revision {
+		return resultcode.Errorf(resultcode.PlatformConflict, "changed in between")
+	}
+	delete(s.objects, name)
+	return nil
+}
+
+func (s *memoryStore) List(_ context.Context, _, after string) (objectstore.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listing := objectstore.Listing{Revision: s.revision}
+	for _, name := range s.names() {
+		if name <= after {
+			continue
+		}
+		if len(listing.Objects) == 2 {
+			listing.More = true
+			break
+		}
+		listing.Objects = append(listing.Objects, s.objects[name])
+	}
+	return listing, nil
+}
+
+func (s *memoryStore) names() []string {
+	names := make([]string, 0, len(s.objects))
+	for name := range s.objects {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// registrations returns the names and addresses in the store.
+func (s *memoryStore) registrations(t *testing.T) map[string]string {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	addresses := make(map[string]string)
+	for name, object := range s.objects {
+		var content registration
+		if err := json.Unmarshal(object.Content, &content); err != nil {
+			addresses[name] = "unreadable"
+			continue
+		}
+		addresses[name] = content.Address.String()
+	}
+	return addresses
+}
+
+// newRegistry returns the registry of an instance that knows no peers. found is told
+// of the names that it finds.
+func newRegistry(store objectstore.Store, name string, found func(names []string)) *Registry {
+	self := Peer{Name: name, Address: netip.MustParseAddrPort("10.0.0.1:17720")}
+	return &Registry{
+		Store: store, Self: self, Logger: zap.NewNop(), Peers: NewPeers(self, nil),
+		Now:   func() time.Duration { return 0 },
+		Reads: func() bool { return true },
+		Found: func(_ context.Context, peers ...*syncpb.Peer) {
+			var names []string
+			for _, p := range peers {
+				names = append(names, p.Name)
+			}
+			found(names)
+		},
+	}
+}
+
+func (s *memoryStore) add(name, content string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(objectstore.Object{Kind: instanceKind, Name: name, Content: []byte(content)})
+}
+
+// Guards against an instance that does not find others behind the first part of a
+// list, stops at an entry that it cannot read, or gives up after one failure.
+func TestRegistryFindsOthers(t *testing.T) {
+	store := newMemoryStore()
+	store.failures = 2
+	for i := range 5 {
+		store.add(fmt.Sprintf("entry-%d", i+2), fmt.Sprintf(`{"address":"10.0.0.%d:17720"}`, i+2))
+	}
+	store.add("entry-4", `{"address":7}`)
+	found := make(chan []string, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	registry := newRegistry(store, "entry-1", func(names []string) { found <- names })
+	go func() { _ = registry.Run(ctx) }()
+	select {
+	case names := <-found:
+		if want := []string{"entry-1", "entry-2", "entry-3", "entry-5", "entry-6"}; !slices.Equal(names, want) {
+			t.Errorf("found %v, want %v", names, want)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("nothing found")
+	}
+}
+
+// Guards against a registration with the address of an earlier machine, and against a
+// write where nothing has changed.
+func TestRegistryWritesWhatHasChanged(t *testing.T) {
+	for _, c := range []struct {
+		name, present string
+		writes        int
+	}{
+		{"as it was", `{"address":"10.0.0.1:17720","renewals":3}`, 0},
+		{"another address", `{"address":"10.0.0.9:17720"}`, 1},
+		{"unreadable", `"nonsense"`, 1},
+	} {
+		store := newMemoryStore()
+		store.add("entry-1", c.present)
+		store.writes = 0
+		registry := newRegistry(store, "entry-1", func([]string) {})
+		if err := registry.register(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		if store.writes != c.writes {
+			t.Errorf("%s: %d writes, want %d", c.name, store.writes, c.writes)
+		}
+		if got := store.registrations(t)["entry-1"]; got != "10.0.0.1:17720" {
+			t.Errorf("%s: registered at %s", c.name, got)
+		}
+	}
+}
+
+// Guards against registrations of lost machines that stay for ever, and against the
+// removal of those of running instances, however long ago they started.
+func TestRegistryRemovesLapsedRegistrations(t *testing.T) {
+	store := newMemoryStore()
+	clock := time.Duration(0)
+	var running []*Registry
+	for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
+		registry := newRegistry(store, name, func([]string) {})
+		registry.Now = func() time.Duration { return clock }
+		running = append(running, registry)
+	}
+	store.add("lost-1", `{"address":"10.0.0.8:17720"}`)
+	store.add("lost-2", `"nonsense"`)
+	const interval = time.Hour
+	for round := range 3 * lapsedIntervals {
+		for _, registry := range running {
+			if err := registry.register(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			registry.renewals++
+		}
+		if err := running[0].removeLapsed(context.Background(), lapsedIntervals*interval); err != nil {
+			t.Fatal(err)
+		}
+		names := store.registrations(t)
+		if len(names) < 3 || round < lapsedIntervals && len(names) != 5 {
+			t.Fatalf("round %d: %v", round, names)
+		}
+		clock += interval
+	}
+	if names := store.registrations(t); len(names) != 3 {
+		t.Errorf("left: %v", names)
+	}
+}
+
+// Guards against a registration that is never renewed, and so removed by the others.
+func TestRegistryRenews(t *testing.T) {
+	store := newMemoryStore()
+	registry := newRegistry(store, "entry-1", func([]string) {})
+	registry.RenewInterval = 10 * time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = registry.Run(ctx) }()
+	deadline := time.Now().Add(5 * time.Second)
+	for {
+		store.mu.Lock()
+		writes := store.writes
+		store.mu.Unlock()
+		if writes >= 3 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d writes", writes)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Guards against peers that are counted long after they are gone, and against a drop of
+// those that are heard of.
+func TestPeersAreForgotten(t *testing.T) {
+	address := netip.MustParseAddrPort("10.0.0.2:17720")
+	peers := NewPeers(Peer{Name: "entry-1"}, nil)
+	for _, name := range []string{"entry-2", "entry-3"} {
+		if !peers.Heard(Peer{Name: name, Address: address}, 0) {
+			t.Errorf("%s is not new", name)
+		}
+	}
+	peers.Heard(Peer{Name: "entry-3", Address: address}, peerLife/2)
+	if forgotten := peers.Forget(peerLife); forgotten != 1 {
+		t.Errorf("%d forgotten, want 1", forgotten)
+	}
+	if names := peers.Names(); !slices.Equal(names, []string{"entry-3"}) {
+		t.Errorf("left: %v", names)
+	}
+}
--- a/internal/discovery/syncer.go
+++ b/internal/discovery/syncer.go
@@ -49,6 +49,8 @@
 	// fullReadsAfterMiss is how long after an incomplete read of changes
 	// everything is read instead.
 	fullReadsAfterMiss = 5 * time.Second
+	// forgetInterval is the time between two looks for peers that are gone.
+	forgetInterval = 30 * time.Second
 	// askPart is the part of the bound between a change and its effect that a peer
 	// may take to answer.
 	askPart = 10
@@ -72,6 +74,8 @@
 	storeUp   bool
 	// reads tells the peers whether this instance reads the store.
 	reads atomic.Bool
+	// forgotAt is when peers were last looked through for those that are gone.
+	forgotAt time.Duration
 	// seedsAsked counts the seeds that have not answered yet.
 	seedsAsked int
 }
@@ -98,6 +102,7 @@
 			seedsAskedAt = now
 			s.askSeeds(ctx)
 		}
+		s.forgetPeers(now)
 		step := s.plan.Next(now)
 		s.reads.Store(s.plan.Reads(now))
 		s.start(ctx, step)
@@ -342,9 +347,25 @@
 		s.plan.Heard(peer.Name, heardAt)
 	}
 	if changed {
-		names := s.peers.Names(now)
-		s.plan.SetPeers(names)
-		s.knowledge.SetInstances(1 + len(names))
+		s.peersChanged()
+	}
+}
+
+func (s *Syncer) peersChanged() {
+	names := s.peers.Names()
+	s.plan.SetPeers(names)
+	s.knowledge.SetInstances(1 + len(names))
+}
+
+// forgetPeers drops the peers that are gone, at intervals.
+func (s *Syncer) forgetPeers(now time.Duration) {
+	if now-s.forgotAt < forgetInterval {
+		return
+	}
+	s.forgotAt = now
+	if forgotten := s.peers.Forget(now); forgotten > 0 {
+		s.logger.Info("peers_forgotten", zap.Int("count", forgotten), zap.Int("left", s.peers.Count()))
+		s.peersChanged()
 	}
 }
 
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -107,8 +107,11 @@
 		return nil, err
 	}
 	i.run(func() error { return i.syncer.Run(ctx) })
-	directory := &discovery.Registry{Store: adapter.Store, Self: self, Logger: logger, Peers: peers, Found: i.syncer.Hear}
-	i.run(func() error { return directory.Run(ctx) })
+	instances := &discovery.Registry{
+		Store: adapter.Store, Self: self, Logger: logger, Now: i.knowledge.Now,
+		Reads: i.syncer.Reads, Peers: peers, Found: i.syncer.Hear,
+	}
+	i.run(func() error { return instances.Run(ctx) })
 	i.run(i.startPackets)
 	return i, nil
 }
