Make the change of one endpoint cheap at the target size

Cause, by a profile of one change among 14,000 endpoints of 2,000 services: each publication copied and sorted all endpoints, looked for its pool in a list of all pools and built the routes anew; each question of a peer did the copy and the sort too, though nothing had changed.

The catalog keeps its endpoints in order and knows its newest revision, a view of the same configuration takes over the routes, pools are found in a map.

--- a/internal/decision/steering/steering_test.go
+++ b/internal/decision/steering/steering_test.go
@@ -292,7 +292,7 @@
 		}
 		return pools[service]
 	}
-	r := NewView(rules, nil, pool).routes[serviceAddress(443)]
+	r := NewView(rules, nil, pool, nil).routes[serviceAddress(443)]
 	counts := map[string]int{}
 	for source := range 10_000 {
 		p := packetTo(443, uint16(source))
--- a/internal/decision/steering/table.go
+++ b/internal/decision/steering/table.go
@@ -225,9 +225,6 @@
 	s := &t.shards[index]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if idleTimeout <= 0 {
-		idleTimeout = DefaultIdleTimeout
-	}
 	for _, f := range s.flows {
 		if f.waiting && now-f.seenAt >= f.timeout {
 			f.forgo()
@@ -253,6 +250,3 @@
 		return idleTimeout
 	}
 }
-
-// IdleTimeout returns the time after which a flow without packets ends.
-func (v *View) IdleTimeout() time.Duration { return v.idleTimeout }
--- a/internal/decision/steering/view.go
+++ b/internal/decision/steering/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/bits"
-	"slices"
 	"time"
 
 	"burdockrelay.example/burdockrelay/common"
@@ -14,12 +13,12 @@
 // View is what packets are steered by: the rules of one configuration and the
 // endpoints known at one time. It is immutable.
 type View struct {
-	version     uint64
-	idleTimeout time.Duration
-	routes      map[common.ServiceAddress]*route
-	members     []*selection.Member
-	labels      *label.Table
-	ownLabels   map[*selection.Member]label.Label
+	// configuration is nil before the first.
+	configuration *directory.Configuration
+	routes        map[common.ServiceAddress]*route
+	members       []*selection.Member
+	labels        *label.Table
+	ownLabels     map[*selection.Member]label.Label
 	// labelled reports whether a member has a label.
 	labelled func(*selection.Member) bool
 	// pools holds the pools of the members.
@@ -43,17 +42,21 @@
 
 // NewView returns the view of a configuration, nil for none, and of the known
 // endpoints: those listed and those that have left and may still have flows. pool
-// returns the pool of a service.
-func NewView(configuration *directory.Configuration, known []Labelled, pool func(service string) *selection.Pool) *View {
+// returns the pool of a service, always the same one. former is an earlier view, or
+// nil: a view of the same configuration takes its routes.
+func NewView(configuration *directory.Configuration, known []Labelled, pool func(service string) *selection.Pool, former *View) *View {
 	v := &View{
-		routes:    make(map[common.ServiceAddress]*route),
-		ownLabels: make(map[*selection.Member]label.Label, len(known)),
+		configuration: configuration,
+		members:       make([]*selection.Member, len(known)),
+		ownLabels:     make(map[*selection.Member]label.Label, len(known)),
 	}
 	holders := make([]label.Holder, len(known))
+	seen := make(map[*selection.Pool]bool)
 	for i, k := range known {
 		holders[i] = k.Holder
-		v.members = append(v.members, k.Member)
-		if p := k.Member.Pool(); !slices.Contains(v.pools, p) {
+		v.members[i] = k.Member
+		if p := k.Member.Pool(); !seen[p] {
+			seen[p] = true
 			v.pools = append(v.pools, p)
 		}
 	}
@@ -62,16 +65,24 @@
 		v.ownLabels[m] = v.labels.Own(i)
 	}
 	v.labelled = func(m *selection.Member) bool { return v.ownLabels[m] != 0 }
+	if former != nil && former.configuration == configuration {
+		v.routes = former.routes
+	} else {
+		v.routes = newRoutes(configuration, pool)
+	}
+	return v
+}
+
+func newRoutes(configuration *directory.Configuration, pool func(service string) *selection.Pool) map[common.ServiceAddress]*route {
 	if configuration == nil {
-		return v
+		return nil
 	}
-	v.version = configuration.Version
-	v.idleTimeout = configuration.IdleTimeout
+	routes := make(map[common.ServiceAddress]*route, len(configuration.Rules))
 	lowest := lowestPriorities(configuration.Rules)
 	for _, rule := range configuration.Rules {
-		v.routes[rule.Address] = newRoute(rule, lowest, pool)
+		routes[rule.Address] = newRoute(rule, lowest, pool)
 	}
-	return v
+	return routes
 }
 
 // lowestPriorities returns the lowest priority, the highest number, of the rules of
@@ -135,7 +146,20 @@
 }
 
 // Version returns the version of the configuration, 0 for none.
-func (v *View) Version() uint64 { return v.version }
+func (v *View) Version() uint64 {
+	if v.configuration == nil {
+		return 0
+	}
+	return v.configuration.Version
+}
+
+// IdleTimeout returns the time after which a flow without packets ends.
+func (v *View) IdleTimeout() time.Duration {
+	if v.configuration == nil || v.configuration.IdleTimeout <= 0 {
+		return DefaultIdleTimeout
+	}
+	return v.configuration.IdleTimeout
+}
 
 // Collisions returns the number of labels that several endpoints could have.
 func (v *View) Collisions() int { return v.labels.Collisions }
--- a/internal/decision/steering/world_test.go
+++ b/internal/decision/steering/world_test.go
@@ -124,7 +124,7 @@
 			labelled = append(labelled, Labelled{Member: m, Holder: label.Holder{Number: e.Number, Live: true, Born: e.Born}})
 		}
 	}
-	i.view = NewView(i.world.rules, labelled, i.pool)
+	i.view = NewView(i.world.rules, labelled, i.pool, nil)
 }
 
 // handle decides on a packet and carries it out.
--- a/internal/directory/catalog.go
+++ b/internal/directory/catalog.go
@@ -35,7 +35,12 @@
 type Catalog struct {
 	configuration *Configuration
 	known         map[string]*Known
-	at            uint64
+	// ordered holds the known endpoints, by name unless disordered is set.
+	ordered    []*Known
+	disordered bool
+	at         uint64
+	// newest is the highest revision that any entry says something about.
+	newest uint64
 	// historyFrom is the revision from which the catalog knows of every endpoint
 	// that has left: differences from before it would lack some.
 	historyFrom uint64
@@ -63,6 +68,7 @@
 	for i := range u.Endpoints {
 		offered := &u.Endpoints[i]
 		listed[offered.Endpoint.Name] = !offered.Missing()
+		c.newest = max(c.newest, offered.latest())
 		changed = c.offer(offered, now) || changed
 	}
 	if u.Full {
@@ -113,6 +119,8 @@
 		added.MissingSince = now
 	}
 	c.known[offered.Endpoint.Name] = &added
+	c.ordered = append(c.ordered, &added)
+	c.disordered = true
 	return true
 }
 
@@ -132,20 +140,20 @@
 	for name, k := range c.known {
 		if !listed[name] && !k.Missing() && k.latest() <= at {
 			k.lose(at, now)
+			c.newest = max(c.newest, at)
 			changed = true
 		}
 	}
 	return changed
 }
 
-// Known returns all known endpoints by name.
-func (c *Catalog) Known() []Known {
-	known := make([]Known, 0, len(c.known))
-	for _, k := range c.known {
-		known = append(known, *k)
+// Known returns all known endpoints by name, until the catalog changes.
+func (c *Catalog) Known() []*Known {
+	if c.disordered {
+		slices.SortFunc(c.ordered, func(a, b *Known) int { return strings.Compare(a.Endpoint.Name, b.Endpoint.Name) })
+		c.disordered = false
 	}
-	slices.SortFunc(known, func(a, b Known) int { return strings.Compare(a.Endpoint.Name, b.Endpoint.Name) })
-	return known
+	return c.ordered
 }
 
 // Difference returns the update from a revision to the present: only what has
@@ -155,9 +163,12 @@
 	if c.configuration != nil && c.configuration.Revision > configurationRevision {
 		u.Configuration = c.configuration
 	}
+	if !u.Full && since >= c.newest {
+		return u
+	}
 	for _, k := range c.Known() {
 		if u.Full || k.latest() > since {
-			u.Endpoints = append(u.Endpoints, k)
+			u.Endpoints = append(u.Endpoints, *k)
 		}
 	}
 	return u
@@ -166,13 +177,14 @@
 // Forget drops endpoints that have been missing for a time and returns their
 // number.
 func (c *Catalog) Forget(after, now time.Duration) int {
-	dropped := 0
-	for name, k := range c.known {
-		if k.Missing() && now-k.MissingSince >= after {
-			c.historyFrom = max(c.historyFrom, k.MissingAt)
-			delete(c.known, name)
-			dropped++
+	before := len(c.ordered)
+	c.ordered = slices.DeleteFunc(c.ordered, func(k *Known) bool {
+		if !k.Missing() || now-k.MissingSince < after {
+			return false
 		}
-	}
-	return dropped
+		c.historyFrom = max(c.historyFrom, k.MissingAt)
+		delete(c.known, k.Endpoint.Name)
+		return true
+	})
+	return before - len(c.ordered)
 }
--- a/internal/directory/catalog_test.go
+++ b/internal/directory/catalog_test.go
@@ -80,7 +80,7 @@
 	}
 	listed := map[string]Known{}
 	for _, k := range c.Known() {
-		listed[k.Endpoint.Name] = k
+		listed[k.Endpoint.Name] = *k
 	}
 	for name, want := range h.endpoints[at] {
 		got, found := listed[name]
--- a/internal/discovery/changes.go
+++ b/internal/discovery/changes.go
@@ -1,11 +1,6 @@
 package discovery
 
-import (
-	"slices"
-	"strings"
-
-	"burdockrelay.example/burdockrelay/internal/directory"
-)
+import "burdockrelay.example/burdockrelay/internal/directory"
 
 // Standing is what an instance believes of an endpoint.
 type Standing uint8
@@ -43,18 +38,17 @@
 }
 
 // changes compares what is believed now with the last time and returns the
-// changes, by name. The caller holds mu.
-func (k *Knowledge) changes(known []directory.Known, standing func(*directory.Known) Standing) []EndpointChange {
+// changes, in the order of the given endpoints. The caller holds mu.
+func (k *Knowledge) changes(known []*directory.Known, standing func(*directory.Known) Standing) []EndpointChange {
 	var changes []EndpointChange
 	next := make(map[string]Standing, len(known))
-	for i := range known {
-		name := known[i].Endpoint.Name
-		next[name] = standing(&known[i])
+	for _, each := range known {
+		name := each.Endpoint.Name
+		next[name] = standing(each)
 		if former := k.standings[name]; former != next[name] {
-			changes = append(changes, EndpointChange{Endpoint: known[i].Endpoint, From: former, To: next[name]})
+			changes = append(changes, EndpointChange{Endpoint: each.Endpoint, From: former, To: next[name]})
 		}
 	}
 	k.standings = next
-	slices.SortFunc(changes, func(a, b EndpointChange) int { return strings.Compare(a.Endpoint.Name, b.Endpoint.Name) })
 	return changes
 }
--- a/internal/discovery/knowledge.go
+++ b/internal/discovery/knowledge.go
@@ -70,7 +70,7 @@
 		ready:      make(chan struct{}),
 	}
 	k.startedAt = clock()
-	k.current.Store(steering.NewView(nil, nil, k.pool))
+	k.current.Store(steering.NewView(nil, nil, k.pool, nil))
 	return k
 }
 
@@ -274,31 +274,31 @@
 	for service := range k.pools {
 		listed[service] = nil
 	}
-	var missing []directory.Known
+	var missing []*directory.Known
 	all := k.catalog.Known()
 	for _, known := range all {
-		if k.standing(&known, now) == Gone {
+		if k.standing(known, now) == Gone {
 			missing = append(missing, known)
 			continue
 		}
 		listed[known.Endpoint.Service] = append(listed[known.Endpoint.Service], known.Endpoint)
 	}
-	var labelled []steering.Labelled
+	labelled := make([]steering.Labelled, 0, len(all))
 	for service, endpoints := range listed {
 		for i, m := range k.pool(service).Update(endpoints, now) {
 			labelled = append(labelled, withLabel(m, &endpoints[i], true))
 		}
 	}
 	former := make(map[string]*selection.Member, len(missing))
-	for i := range missing {
-		endpoint := &missing[i].Endpoint
+	for _, known := range missing {
+		endpoint := &known.Endpoint
 		m := k.formerMember(endpoint)
 		former[endpoint.Name] = m
 		labelled = append(labelled, withLabel(m, endpoint, false))
 	}
 	k.former = former
 	wasKnown := k.Known()
-	k.current.Store(steering.NewView(k.catalog.Configuration(), labelled, k.pool))
+	k.current.Store(steering.NewView(k.catalog.Configuration(), labelled, k.pool, k.current.Load()))
 	if !wasKnown && k.Known() {
 		close(k.ready)
 	}
--- /dev/null
+++ b/internal/discovery/slope_test.go
@@ -0,0 +1,94 @@
+package discovery
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/directory"
+	"burdockrelay.example/burdockrelay/proto/syncpb"
+)
+
+// fleet returns everything that a store holds of some endpoints, 7 of each service.
+func fleet(endpoints int) *directory.Update {
+	u := &directory.Update{At: uint64(endpoints), Full: true, Configuration: &directory.Configuration{Version: 1, Revision: 1}}
+	for i := range endpoints {
+		service := fmt.Sprintf("service-%d", i/7)
+		if i%7 == 0 {
+			u.Configuration.Rules = append(u.Configuration.Rules, directory.Rule{
+				Address: common.ServiceAddress{Address: netip.AddrFrom4([4]byte{198, 18, byte(i >> 16), byte(i >> 8)}), Port: uint16(i%256 + 1), Protocol: common.ProtocolTCP},
+				Targets: []directory.Target{{Service: service, Weight: 1}},
+			})
+			u.Configuration.Services = append(u.Configuration.Services, directory.Service{Name: service, HealthPath: "/health"})
+		}
+		u.Endpoints = append(u.Endpoints, directory.Known{Endpoint: directory.Endpoint{
+			Name: fmt.Sprintf("i-%x", 1_000_000+i*7919), Number: uint64(1_000_000 + i*7919), Service: service,
+			Address:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 8080),
+			DataCentre: fmt.Sprintf("dc-%d", i%12), Slots: 2, Born: int64(1 + i), Revision: uint64(1 + i),
+		}})
+	}
+	return u
+}
+
+func newKnowledge() *Knowledge {
+	return NewKnowledge("dc-1", time.Minute, 3*time.Second, func() time.Duration { return time.Second })
+}
+
+// BenchmarkDeltaSlope applies the change of one endpoint at three sizes, and reports
+// the memory of the knowledge.
+func BenchmarkDeltaSlope(b *testing.B) {
+	for _, endpoints := range []int{3500, 7000, 14_000} {
+		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			k := newKnowledge()
+			all := fleet(endpoints)
+			k.Apply(all, Word{})
+			changed := all.Endpoints[0]
+			all = nil
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			at := uint64(endpoints)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				at++
+				changed.Endpoint.Revision = at
+				changed.Endpoint.Draining = !changed.Endpoint.Draining
+				k.Apply(&directory.Update{Since: at - 1, At: at, Endpoints: []directory.Known{changed}}, Word{})
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(endpoints), "heap-B/endpoint")
+		})
+	}
+}
+
+// BenchmarkAnswerSlope encodes the answer to a peer that knows nothing at three sizes.
+func BenchmarkAnswerSlope(b *testing.B) {
+	for _, endpoints := range []int{3500, 7000, 14_000} {
+		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
+			k := newKnowledge()
+			k.Apply(fleet(endpoints), Word{})
+			s := &Service{Knowledge: k, Peers: NewPeers(Peer{Name: "entry-1"}, nil), Reads: func() bool { return true }}
+			size := 0
+			b.ReportAllocs()
+			for range b.N {
+				answer, err := s.Fetch(b.Context(), &syncpb.FetchRequest{})
+				if err != nil {
+					b.Fatal(err)
+				}
+				encoded, err := proto.Marshal(answer)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(encoded)
+			}
+			b.ReportMetric(float64(size)/float64(endpoints), "B/endpoint")
+		})
+	}
+}
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -92,7 +92,7 @@
 	}}}
 	known := []steering.Labelled{{Member: members[0], Holder: label.Holder{Number: 0x7f3a91c2, Live: true, Born: 1}}}
 	p.knowledge = &knowledge{
-		view:  steering.NewView(rules, known, func(string) *selection.Pool { return pool }),
+		view:  steering.NewView(rules, known, func(string) *selection.Pool { return pool }, nil),
 		begun: time.Now(),
 	}
 	core, logs := observer.New(zap.InfoLevel)
