--- a/internal/decision/selection/selection.go
+++ b/internal/decision/selection/selection.go
@@ -268,11 +268,13 @@
 	var best *Member
 	var least float64
 	for _, m := range p.members {
-		if m == avoid || m.endpoint.Draining || !eligible(m) {
+		if m == avoid || m.endpoint.Draining {
 			continue
 		}
 		cost := p.cost(m, now)
-		if best == nil || cost < least || cost == least && m.chosenAt < best.chosenAt {
+		better := best == nil || cost < least || cost == least && m.chosenAt < best.chosenAt
+		// Most members are not better, so only few are looked up.
+		if better && eligible(m) {
 			best, least = m, cost
 		}
 	}
--- a/internal/discovery/slope_test.go
+++ b/internal/discovery/slope_test.go
@@ -1,9 +1,12 @@
 package discovery
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/netip"
 	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -92,3 +95,61 @@
 		})
 	}
 }
+
+// countingListener counts the bytes of its connections, both directions.
+type countingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countingConn{Conn: c, bytes: &l.bytes}, err
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkQuestion asks a peer that has nothing new over TCP, and reports the bytes of
+// question and answer without the headers of TCP and IP.
+func BenchmarkQuestion(b *testing.B) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	counting := &countingListener{Listener: listener}
+	k := newKnowledge()
+	k.Apply(fleet(14_000), Word{})
+	asker := NewPeers(Peer{Name: "entry-2", Address: netip.MustParseAddrPort("10.0.0.2:17720")}, nil)
+	s := &Service{
+		Knowledge: k, Peers: NewPeers(Peer{Name: "entry-2"}, nil), Reads: func() bool { return true },
+		Hear: func(context.Context, ...*syncpb.Peer) {},
+	}
+	go func() { _ = s.Serve(b.Context(), counting) }()
+	client := newPeerClient(time.Second)
+	request := &syncpb.FetchRequest{
+		Asker: asker.Self(), ConfigurationRevision: 1, EndpointsRevision: 14_000, PeersHash: s.Peers.Hash(),
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		if _, err := client.fetch(b.Context(), netip.MustParseAddrPort(listener.Addr().String()), request); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(counting.bytes.Load())/float64(b.N), "B/question")
+}
