Give relayd's bound on drains a name of its own

Cause: the setting drain_deadline of burdock-relayd (time in which a draining endpoint gets no new flows) had the name of a policy's drain_deadline (time that a drain may take).

--- a/binaries/burdock-relayd/main.go
+++ b/binaries/burdock-relayd/main.go
@@ -104,7 +104,7 @@
 	}
 	logger.Info("started", zap.String("instance", loaded.Instance), zap.String("data_centre", loaded.DataCentre),
 		zap.Stringer("packets", loaded.PacketListen), zap.String("version", buildVersion()),
-		zap.Duration("apply_deadline", loaded.ApplyDeadline), zap.Duration("drain_deadline", loaded.DrainDeadline))
+		zap.Duration("apply_deadline", loaded.ApplyDeadline), zap.Duration("drain_apply_deadline", loaded.DrainApplyDeadline))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	reloader := &relayd.Reloader{Path: path, Instance: instance, Level: level, Logger: logger}
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -80,7 +80,7 @@
 
 // bound returns the tighter of the two bounds between a change and its effect.
 func bound(s *settings.Relay) time.Duration {
-	return min(s.ApplyDeadline, s.DrainDeadline)
+	return min(s.ApplyDeadline, s.DrainApplyDeadline)
 }
 
 // Start opens the sockets and begins to serve. The registry holds the metrics.
--- a/internal/relayd/relayd_test.go
+++ b/internal/relayd/relayd_test.go
@@ -36,7 +36,7 @@
 metrics_listen: %s:19464
 store: 127.0.0.1:1
 apply_deadline: 3000ms
-drain_deadline: 3000.0ms
+drain_apply_deadline: 3000.0ms
 stop_deadline: 1s
 memory_mb: 284
 `, ip, ip, ip, ip)
--- a/internal/relayd/reload.go
+++ b/internal/relayd/reload.go
@@ -73,6 +73,6 @@
 		loaded.Store != present.Store || loaded.MaxFlows != present.MaxFlows ||
 		loaded.Instance != present.Instance || loaded.DataCentre != present.DataCentre
 	r.Logger.Info("settings_reloaded", zap.String("log_level", loaded.LogLevel),
-		zap.Duration("apply_deadline", loaded.ApplyDeadline), zap.Duration("drain_deadline", loaded.DrainDeadline),
+		zap.Duration("apply_deadline", loaded.ApplyDeadline), zap.Duration("drain_apply_deadline", loaded.DrainApplyDeadline),
 		zap.Bool("restart_needed", restart))
 }
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -28,8 +28,8 @@
 	Store netip.AddrPort `yaml:"store" required:"true"`
 	// ApplyDeadline bounds the time until a configuration is in force.
 	ApplyDeadline time.Duration `yaml:"apply_deadline" min:"1ms" rounded:"true"`
-	// DrainDeadline bounds the time until a draining endpoint gets no new flows.
-	DrainDeadline time.Duration `yaml:"drain_deadline" min:"1ms" rounded:"true"`
+	// DrainApplyDeadline bounds the time until a draining endpoint gets no new flows.
+	DrainApplyDeadline time.Duration `yaml:"drain_apply_deadline" min:"1ms" rounded:"true"`
 	// FlowLifetime is the longest time that a flow may last.
 	FlowLifetime time.Duration `yaml:"flow_lifetime" min:"1s" rounded:"true"`
 	// StopDeadline bounds a graceful stop.
@@ -42,17 +42,17 @@
 
 // Default bounds, for an installation that states none.
 const (
-	defaultApplyDeadline = 3 * time.Second
-	defaultDrainDeadline = 3 * time.Second
-	defaultStopDeadline  = 5 * time.Second
-	defaultFlowLifetime  = time.Minute
-	defaultRelayFlows    = 100_000
+	defaultApplyDeadline      = 3 * time.Second
+	defaultDrainApplyDeadline = 3 * time.Second
+	defaultStopDeadline       = 5 * time.Second
+	defaultFlowLifetime       = time.Minute
+	defaultRelayFlows         = 100_000
 )
 
 func (r *Relay) setDefaults() {
 	r.Daemon.setDefaults()
 	r.ApplyDeadline = defaultApplyDeadline
-	r.DrainDeadline = defaultDrainDeadline
+	r.DrainApplyDeadline = defaultDrainApplyDeadline
 	r.StopDeadline = defaultStopDeadline
 	r.FlowLifetime = defaultFlowLifetime
 	r.MaxFlows = defaultRelayFlows
--- a/internal/settings/relay_test.go
+++ b/internal/settings/relay_test.go
@@ -22,7 +22,7 @@
 apply_deadline: 3000ms
 
 
-drain_deadline: 2666.7ms
+drain_apply_deadline: 2666.7ms
 
 
 stop_deadline: 6.5s
@@ -42,8 +42,8 @@
 	if r.Instance != "frontend-fukuoka-1" || len(r.Seeds) != 3 || r.MemoryMB != 284 || r.MaxFlows != defaultRelayFlows {
 		t.Errorf("settings %+v", r)
 	}
-	if r.ApplyDeadline != 3*time.Second || r.DrainDeadline != 2666*time.Millisecond || r.StopDeadline != 6500*time.Millisecond {
-		t.Errorf("deadlines %v, %v, %v", r.ApplyDeadline, r.DrainDeadline, r.StopDeadline)
+	if r.ApplyDeadline != 3*time.Second || r.DrainApplyDeadline != 2666*time.Millisecond || r.StopDeadline != 6500*time.Millisecond {
+		t.Errorf("deadlines %v, %v, %v", r.ApplyDeadline, r.DrainApplyDeadline, r.StopDeadline)
 	}
 }
 
--- a/standins/estate/relayd_test.go
+++ b/standins/estate/relayd_test.go
@@ -115,7 +115,7 @@
 	e := &entry{door: door, settings: &settings.Relay{
 		Daemon:       settings.Daemon{Instance: name, DataCentre: "fukuoka"},
 		PacketListen: address(0), ReadyListen: address(1), PeerListen: address(2), PeerAddress: address(2),
-		Store: netip.MustParseAddrPort(door.Address()), ApplyDeadline: 3 * time.Second, DrainDeadline: 3 * time.Second,
+		Store: netip.MustParseAddrPort(door.Address()), ApplyDeadline: 3 * time.Second, DrainApplyDeadline: 3 * time.Second,
 		StopDeadline: 5 * time.Second, FlowLifetime: time.Minute, MaxFlows: 10_000,
 	}}
 	s.run(e)
--- a/standins/soak/instance.go
+++ b/standins/soak/instance.go
@@ -43,7 +43,7 @@
 peer_address: %s
 store: %s
 apply_deadline: %v
-drain_deadline: %v
+drain_apply_deadline: %v
 stop_deadline: 4s
 memory_mb: 200
 `, i.name, level, i.ip, i.port, i.ip, i.port+1, i.ip, i.port+2, i.peers.address(), i.store.address(), bound, bound)
