--- /dev/null
+++ b/internal/decision/selection/outcome.go
@@ -0,0 +1,108 @@
+package selection
+
+import (
+	"slices"
+	"time"
+)
+
+// Requested counts one more request on an open flow.
+func (m *Member) Requested() {
+	m.pool.mu.Lock()
+	defer m.pool.mu.Unlock()
+	m.waiting++
+}
+
+// Responded ends a waiting request whose response began after a time. target is the
+// time in which it should, 0 for none.
+func (m *Member) Responded(now, took, target time.Duration) {
+	p := m.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m.waiting = max(m.waiting-1, 0)
+	p.limiter.Responded(now, took, target)
+	m.addResponse(now, float64(took), p.usual)
+	m.addOutcome(now, false)
+	m.alive(now)
+	if now-p.usualAt >= usualInterval {
+		p.updateUsual(now)
+	}
+}
+
+func (p *Pool) updateUsual(now time.Duration) {
+	p.usualAt = now
+	var means []float64
+	for _, m := range p.members {
+		if m.response > 0 {
+			means = append(means, m.response)
+		}
+	}
+	if len(means) > 0 {
+		slices.Sort(means)
+		p.usual = means[(len(means)-1)/2]
+	}
+}
+
+// Abandoned ends a waiting request without a response.
+func (m *Member) Abandoned(now time.Duration) {
+	m.pool.mu.Lock()
+	defer m.pool.mu.Unlock()
+	m.waiting = max(m.waiting-1, 0)
+	m.addOutcome(now, true)
+}
+
+// Moved ends a waiting request that went to another endpoint.
+func (m *Member) Moved() {
+	m.pool.mu.Lock()
+	defer m.pool.mu.Unlock()
+	m.waiting = max(m.waiting-1, 0)
+}
+
+// Opened notes that a caller has acknowledged the endpoint, a time after its first
+// packet was sent there, 0 when that is not known.
+func (m *Member) Opened(now, took time.Duration) {
+	p := m.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m.alive(now)
+	if took > 0 {
+		p.handshake += handshakeShare * (min(float64(took), handshakeCap*p.handshake) - p.handshake)
+	}
+}
+
+func (m *Member) alive(now time.Duration) {
+	m.aliveAt = now
+	if m.condition != Healthy {
+		m.setCondition(Healthy, now)
+	}
+}
+
+func (m *Member) setCondition(condition Condition, now time.Duration) {
+	m.condition = condition
+	m.conditionAt = now
+}
+
+// Unanswered notes that the caller has repeated a first packet that was sent to the
+// endpoint at a time.
+// It reports whether the endpoint has become suspect by it: when it has shown no
+// life since.
+func (m *Member) Unanswered(now, sentAt time.Duration) bool {
+	m.pool.mu.Lock()
+	defer m.pool.mu.Unlock()
+	if m.aliveAt > sentAt || now-sentAt < minAnswerWait {
+		return false
+	}
+	first := m.condition != Suspect
+	m.setCondition(Suspect, now)
+	return first
+}
+
+// Checked takes the result of a health check: a suspect endpoint that passes is
+// on probation.
+func (m *Member) Checked(now time.Duration, passed bool) Condition {
+	m.pool.mu.Lock()
+	defer m.pool.mu.Unlock()
+	if passed && m.condition == Suspect {
+		m.setCondition(Probation, now)
+	}
+	return m.condition
+}
