Let instances that start together choose different endpoints

Cause: endpoints of equal cost that were never chosen came in the order of the list, which is the same on all instances. An endpoint rejects what does not fit its slots and queue.

Now the order among them is a hash of instance and endpoint. TestInstancesThatStartTogetherChooseDifferentEndpoints: 100 of 100 first flows to one endpoint before, at most 10 allowed.

Ruled out: counts shared between instances (docs/experiments.md).

--- a/internal/decision/selection/comparison_test.go
+++ b/internal/decision/selection/comparison_test.go
@@ -117,7 +117,7 @@
 		})
 	}
 	for i := range load.instances {
-		p := NewPool("desk", zoneName(i%zones))
+		p := NewPool("desk", fmt.Sprintf("entry-%d", i+1), zoneName(i%zones))
 		p.SetInstances(load.instances)
 		p.Update(list, 0)
 		f.pools = append(f.pools, p)
--- a/internal/decision/selection/member.go
+++ b/internal/decision/selection/member.go
@@ -56,8 +56,10 @@
 
 	// waiting counts the requests of this instance without a response.
 	waiting int
-	// chosenAt orders endpoints that are otherwise equal.
-	chosenAt uint64
+	// chosenAt orders endpoints that are otherwise equal, and order those of them that
+	// were never chosen: in another way on each instance, so that instances that start
+	// together do not choose the same ones.
+	chosenAt, order uint64
 
 	condition Condition
 	// aliveAt is the last time that the endpoint is known to have sent
@@ -71,6 +73,14 @@
 	failuresAt time.Duration
 }
 
+// before reports whether the member comes before another one of the same cost.
+func (m *Member) before(other *Member) bool {
+	if m.chosenAt != other.chosenAt {
+		return m.chosenAt < other.chosenAt
+	}
+	return m.order < other.order
+}
+
 // Pool returns the endpoints of the member's service.
 func (m *Member) Pool() *Pool { return m.pool }
 
--- a/internal/decision/selection/selection.go
+++ b/internal/decision/selection/selection.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"burdockrelay.example/burdockrelay/internal/decision/admission"
 	"burdockrelay.example/burdockrelay/internal/directory"
 )
@@ -49,6 +51,7 @@
 // Pool holds the endpoints of one service.
 type Pool struct {
 	service    string
+	instance   string
 	dataCentre string
 
 	mu      sync.Mutex
@@ -77,9 +80,9 @@
 }
 
 // NewPool returns an empty pool of a service for an instance in a data centre.
-func NewPool(service, dataCentre string) *Pool {
+func NewPool(service, instance, dataCentre string) *Pool {
 	return &Pool{
-		service: service, dataCentre: dataCentre,
+		service: service, instance: instance, dataCentre: dataCentre,
 		usual: float64(initialResponse), handshake: float64(initialHandshake),
 		instances: 1,
 	}
@@ -101,7 +104,7 @@
 			m = find(p.left, &endpoint)
 		}
 		if m == nil {
-			m = &Member{pool: p, response: 0, aliveAt: now}
+			m = &Member{pool: p, aliveAt: now, order: xxhash.Sum64String(p.instance + "/" + endpoint.Name)}
 		}
 		m.update(endpoint, now)
 		p.members = append(p.members, m)
@@ -272,7 +275,7 @@
 			continue
 		}
 		cost := p.cost(m, now)
-		better := best == nil || cost < least || cost == least && m.chosenAt < best.chosenAt
+		better := best == nil || cost < least || cost == least && m.before(best)
 		// Most members are not better, so only few are looked up.
 		if better && eligible(m) {
 			best, least = m, cost
--- a/internal/decision/selection/selection_test.go
+++ b/internal/decision/selection/selection_test.go
@@ -17,7 +17,7 @@
 
 // desk returns a pool with endpoints in the home data centre and in another one.
 func desk(local, remote int) *Pool {
-	p := NewPool("desk", home)
+	p := NewPool("desk", "entry-1", home)
 	var list []directory.Endpoint
 	for i := range local {
 		list = append(list, endpoint(fmt.Sprintf("i-%d", i+1), home))
@@ -64,6 +64,27 @@
 	}
 }
 
+// Guards against instances that start together and all send their first flows to the
+// same endpoint, which rejects what does not fit its slots and its queue.
+func TestInstancesThatStartTogetherChooseDifferentEndpoints(t *testing.T) {
+	const instances, endpoints, slotsAndQueue = 100, 50, 10
+	var list []directory.Endpoint
+	for i := range endpoints {
+		list = append(list, endpoint(fmt.Sprintf("i-%d", i+1), home))
+	}
+	counts := map[string]int{}
+	for i := range instances {
+		p := NewPool("desk", fmt.Sprintf("entry-%d", i+1), home)
+		p.Update(list, 0)
+		counts[choose(p, 0).endpoint.Name]++
+	}
+	for name, count := range counts {
+		if count > slotsAndQueue {
+			t.Errorf("%d of %d first flows go to %s", count, instances, name)
+		}
+	}
+}
+
 // Guards against a data centre whose requests queue while other data centres have
 // free endpoints, and against flows that leave it without need.
 func TestFullDataCentreOverflows(t *testing.T) {
@@ -295,7 +316,7 @@
 
 // Guards against load on an endpoint that has just started while others are free.
 func TestWarmingEndpointGetsLess(t *testing.T) {
-	p := NewPool("desk", home)
+	p := NewPool("desk", "entry-1", home)
 	warming := endpoint("i-1", home)
 	warming.WarmUp = 2 * time.Second
 	p.Update([]directory.Endpoint{warming, endpoint("i-2", home), endpoint("i-3", home)}, 0)
--- a/internal/decision/steering/steering_test.go
+++ b/internal/decision/steering/steering_test.go
@@ -288,7 +288,7 @@
 	pools := map[string]*selection.Pool{}
 	pool := func(service string) *selection.Pool {
 		if pools[service] == nil {
-			pools[service] = selection.NewPool(service, "")
+			pools[service] = selection.NewPool(service, "entry-1", "")
 		}
 		return pools[service]
 	}
--- a/internal/decision/steering/world_test.go
+++ b/internal/decision/steering/world_test.go
@@ -106,7 +106,7 @@
 
 func (i *instance) pool(service string) *selection.Pool {
 	if i.pools[service] == nil {
-		i.pools[service] = selection.NewPool(service, "fukuoka")
+		i.pools[service] = selection.NewPool(service, "entry-1", "fukuoka")
 	}
 	return i.pools[service]
 }
--- a/internal/discovery/knowledge.go
+++ b/internal/discovery/knowledge.go
@@ -27,6 +27,7 @@
 // Knowledge holds what the instance knows. Its methods are safe for concurrent
 // use.
 type Knowledge struct {
+	self       string
 	dataCentre string
 	clock      func() time.Duration
 	startedAt  time.Duration
@@ -54,12 +55,13 @@
 	ready      chan struct{}
 }
 
-// NewKnowledge returns the empty knowledge of an instance in a data centre, where
+// NewKnowledge returns the empty knowledge of the instance self in a data centre, where
 // flows live for flowLife at most and changes take effect within the bound. clock
 // returns the time since a fixed moment and goes on while the machine is
 // suspended.
-func NewKnowledge(dataCentre string, flowLife, bound time.Duration, clock func() time.Duration) *Knowledge {
+func NewKnowledge(self, dataCentre string, flowLife, bound time.Duration, clock func() time.Duration) *Knowledge {
 	k := &Knowledge{
+		self:       self,
 		dataCentre: dataCentre,
 		clock:      clock,
 		flowLife:   flowLife,
@@ -131,7 +133,7 @@
 func (k *Knowledge) pool(service string) *selection.Pool {
 	p := k.pools[service]
 	if p == nil {
-		p = selection.NewPool(service, k.dataCentre)
+		p = selection.NewPool(service, k.self, k.dataCentre)
 		p.SetInstances(k.instances)
 		k.pools[service] = p
 	}
--- a/internal/discovery/slope_test.go
+++ b/internal/discovery/slope_test.go
@@ -39,7 +39,7 @@
 }
 
 func newKnowledge() *Knowledge {
-	return NewKnowledge("dc-1", time.Minute, 3*time.Second, func() time.Duration { return time.Second })
+	return NewKnowledge("entry-1", "dc-1", time.Minute, 3*time.Second, func() time.Duration { return time.Second })
 }
 
 // BenchmarkDeltaSlope applies the change of one endpoint at three sizes, and reports
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -80,7 +80,7 @@
 	p.caller = listenOn(t, "127.0.0.7", 0)
 	p.endpoint = listenOn(t, "127.0.0.8", 0)
 	p.address = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), portOf(p.caller))
-	pool := selection.NewPool("desk", "fukuoka")
+	pool := selection.NewPool("desk", "entry-1", "fukuoka")
 	endpoints := []directory.Endpoint{{
 		Name: "i-7f3a91c2", Number: 0x7f3a91c2, Service: "desk", DataCentre: "fukuoka", Slots: 2,
 		Address: p.endpoint.LocalAddr().(*net.UDPAddr).AddrPort(),
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -90,7 +90,7 @@
 	}
 	i := &Instance{settings: loaded, logger: logger}
 	ctx := i.tomb.Context(context.Background())
-	i.knowledge = discovery.NewKnowledge(loaded.DataCentre, loaded.FlowLifetime, bound(loaded), bootTime)
+	i.knowledge = discovery.NewKnowledge(loaded.Instance, loaded.DataCentre, loaded.FlowLifetime, bound(loaded), bootTime)
 	self := discovery.Peer{Name: loaded.Instance, Address: loaded.PeerAddress}
 	peers := discovery.NewPeers(self, seedAddresses(loaded))
 	metrics := discovery.NewMetrics(registry, i.knowledge, peers)
--- a/standins/estate/discovery_test.go
+++ b/standins/estate/discovery_test.go
@@ -48,7 +48,7 @@
 	}
 	n := &node{t: t, name: name, door: door, address: netip.MustParseAddrPort(listener.Addr().String())}
 	started := time.Now()
-	n.knowledge = discovery.NewKnowledge("fukuoka", time.Minute, bound, func() time.Duration { return time.Since(started) })
+	n.knowledge = discovery.NewKnowledge(name, "fukuoka", time.Minute, bound, func() time.Duration { return time.Since(started) })
 	var addresses []netip.AddrPort
 	for _, seed := range seeds {
 		addresses = append(addresses, seed.address)
