Bring a large installation back after all instances were killed

Cause: 300 instances read a list of 3,000 endpoints, 60 parts, at once. An instance without knowledge asked only the reader, and seeds that started in the same moment once a second. Several full answers at a time on a narrow link took longer than the asker waited.

Ruled out: processor and memory of the instances (10% of a core, 28 MB).

Now each part has its own time and is repeated alone; after 500 ms an instance without knowledge goes on with one read, in turn; it asks the reader and peers drawn at random, each 50 ms, and seeds each 100 ms; an instance tells everything to one peer at a time (burdock_peer_answers_put_off_total). Peers found are one line an answer.

--- /dev/null
+++ b/internal/decision/freshness/ask.go
@@ -0,0 +1,129 @@
+package freshness
+
+import "time"
+
+// planGossip asks another instance, so that groups of instances that do not
+// know of each other, each with a reader of its own, become one.
+func (p *Plan) planGossip(step *Step, now time.Duration) {
+	if p.asking != "" {
+		return
+	}
+	p.nextGossip = now + p.settings.GossipInterval
+	if step.Ask = p.draw(now); step.Ask != "" {
+		p.asking, p.askedAt, p.gossiping = step.Ask, now, true
+	}
+}
+
+// draw returns a peer that is not passed over, "" for none. Each instance draws in
+// another order, so that they do not all ask the same peer.
+func (p *Plan) draw(now time.Duration) string {
+	first := p.random.IntN(len(p.order))
+	for i := range p.order {
+		candidate := p.order[(first+i)%len(p.order)]
+		if candidate.name != p.self && candidate.restUntil <= now {
+			return candidate.name
+		}
+	}
+	return ""
+}
+
+// planBlankAsk asks, while nothing is known, the reader and other peers by turns. What
+// one of them knows spreads from each instance that has it, so that neither the store
+// nor the readers have to tell all.
+func (p *Plan) planBlankAsk(step *Step, reader string, now time.Duration) {
+	if p.asking != "" {
+		return
+	}
+	if now < p.nextAsk {
+		step.Wake = min(step.Wake, p.nextAsk)
+		return
+	}
+	p.askReader = !p.askReader && reader != p.self
+	if step.Ask = reader; !p.askReader {
+		step.Ask = p.draw(now)
+	}
+	if step.Ask != "" {
+		p.asking, p.askedAt = step.Ask, now
+		p.nextAsk = now + blankAskInterval
+	}
+}
+
+func (p *Plan) planAsk(step *Step, reader string, now time.Duration) {
+	if p.asking != "" {
+		return
+	}
+	if now < p.nextAsk {
+		step.Wake = min(step.Wake, p.nextAsk)
+		return
+	}
+	p.asking, p.askedAt = reader, now
+	p.nextAsk = now + p.settings.Interval
+	step.Ask = reader
+}
+
+// Answer is how a peer answered a question.
+type Answer uint8
+
+// Answers. A stale peer does not read the store itself, or knows nothing newer than
+// the limit of the age: two instances that only ask each other would both age.
+const (
+	Fresh Answer = iota
+	Stale
+	// Blank is the answer of a peer that knows nothing.
+	Blank
+	Silent
+)
+
+// Judge returns what an answer with knowledge of an age is worth.
+func (p *Plan) Judge(reads bool, age time.Duration) Answer {
+	if reads && age < p.settings.MaxAge {
+		return Fresh
+	}
+	return Stale
+}
+
+// AskDone notes the end of a question and the age of the answer's knowledge. A
+// peer that is not fresh is passed over for a time. The next question follows the
+// reader's next read.
+func (p *Plan) AskDone(now time.Duration, name string, answer Answer, age time.Duration) {
+	p.asking = ""
+	gossip := p.gossiping
+	p.gossiping = false
+	asked := p.byName[name]
+	if asked == nil || gossip && (answer == Stale || answer == Blank) {
+		return
+	}
+	if answer == Blank && p.known {
+		answer = Stale
+	}
+	switch answer {
+	case Blank:
+		// The peer may soon know more, and is still the reader if it is the first.
+		asked.failures = 0
+		return
+	case Fresh:
+		asked.failures, p.vain = 0, 0
+		untilRead := p.settings.Interval - age + p.settings.Interval/readPart
+		p.nextAsk = now + max(untilRead, p.settings.Interval/leastAskPart)
+		return
+	case Stale:
+		asked.failures = 0
+		asked.restUntil = now + p.settings.Interval*3/2
+	case Silent:
+		asked.restUntil = now + min(p.settings.PeerRest<<min(asked.failures, maxDoublings), p.settings.MaxPeerRest)
+		asked.failures++
+	}
+	asked.failedAt = now
+	p.vain++
+	if p.vain%vainAsks != 0 {
+		p.nextAsk = now
+	}
+}
+
+// Heard notes that a peer was known to run at a time: one that failed before that
+// may be asked again.
+func (p *Plan) Heard(name string, at time.Duration) {
+	if heard := p.byName[name]; heard != nil && at > heard.failedAt {
+		heard.restUntil, heard.failures = 0, 0
+	}
+}
--- a/internal/decision/freshness/freshness.go
+++ b/internal/decision/freshness/freshness.go
@@ -11,8 +11,7 @@
 package freshness
 
 import (
-	"cmp"
-	"slices"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -53,8 +52,10 @@
 	// minOutageAge is below the time in which entries expire in an outage, three
 	// heartbeats of the endpoints.
 	minOutageAge = 1600 * time.Millisecond
-	// blankInterval is the time between failing reads while nothing is known.
-	blankInterval = 100 * time.Millisecond
+	// blankInterval is the time between failing reads while nothing is known,
+	// blankAskInterval the time between questions to peers.
+	blankInterval    = 100 * time.Millisecond
+	blankAskInterval = 50 * time.Millisecond
 	// readPart is the part of an interval that is left to the reader for a read.
 	readPart = 16
 	// leastAskPart is the part of an interval that is at least between questions.
@@ -72,6 +73,13 @@
 	// stagger spreads the instances over a quarter of an interval when all start
 	// to read by themselves, so that the first ones can tell the others.
 	stagger = 4
+	// leastLongReadDelay is how long an instance waits at least, from the start of a
+	// read, before it goes on with a long list: it hears of most peers in that time.
+	// longReadInterval is the time between two instances that go on, because all
+	// together ask more of the store than it can give.
+	leastLongReadDelay = 500 * time.Millisecond
+	longReadInterval   = 50 * time.Millisecond
+	maxLongReadDelay   = 5 * time.Second
 )
 
 // SettingsFor returns the settings that keep a bound between a change in the
@@ -94,8 +102,9 @@
 type Plan struct {
 	settings Settings
 	self     string
-	// order holds the peers and the instance itself.
-	order []*peer
+	// order holds the peers and the instance itself, byName the same by name.
+	order  []*peer
+	byName map[string]*peer
 
 	known       bool
 	confirmedAt time.Duration
@@ -111,8 +120,10 @@
 	askedAt    time.Duration
 	nextAsk    time.Duration
 	nextGossip time.Duration
-	gossiped   int
+	random     *rand.Rand
 	gossiping  bool
+	// askReader is set when the last question without any knowledge went to the reader.
+	askReader bool
 	// vain counts the questions since the last one with a fresh answer.
 	vain        int
 	neverTried  bool
@@ -120,20 +131,9 @@
 	staggerPart time.Duration
 }
 
-type peer struct {
-	name   string
-	weight uint64
-	// restUntil is when a peer that did not answer is asked again, failedAt when
-	// it was last asked in vain, failures how often in a row.
-	restUntil time.Duration
-	failedAt  time.Duration
-	failures  int
-}
-
 // NewPlan returns the plan of an instance that knows nothing.
 func NewPlan(self string, settings Settings) *Plan {
-	p := &Plan{settings: settings, self: self, neverTried: true}
-	p.gossiped = int(xxhash.Sum64String(self) >> 33)
+	p := &Plan{settings: settings, self: self, neverTried: true, random: rand.New(rand.NewPCG(xxhash.Sum64String(self), 0))}
 	p.staggerPart = settings.Interval / stagger * time.Duration(xxhash.Sum64String(self)%stagger) / stagger
 	p.SetPeers(nil)
 	return p
@@ -142,34 +142,6 @@
 // SetSettings changes the limits.
 func (p *Plan) SetSettings(settings Settings) { p.settings = settings }
 
-// SetPeers sets the names of the other instances.
-func (p *Plan) SetPeers(names []string) {
-	order := []*peer{{name: p.self, weight: xxhash.Sum64String(p.self)}}
-	for _, name := range names {
-		if name == p.self {
-			continue
-		}
-		if known := p.find(name); known != nil {
-			order = append(order, known)
-			continue
-		}
-		order = append(order, &peer{name: name, weight: xxhash.Sum64String(name)})
-	}
-	slices.SortFunc(order, func(a, b *peer) int {
-		return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.name, b.name))
-	})
-	p.order = order
-}
-
-// HasPeers reports whether any other instance is known.
-func (p *Plan) HasPeers() bool { return len(p.order) > 1 }
-
-// Age returns the time since what is known was confirmed, false when nothing is
-// known.
-func (p *Plan) Age(now time.Duration) (time.Duration, bool) {
-	return max(now-p.confirmedAt, 0), p.known
-}
-
 // Step is what to do now. Wake is when to ask for the next step if nothing has
 // happened before.
 type Step struct {
@@ -186,6 +158,8 @@
 		p.nextGossip = now + p.settings.GossipInterval
 	}
 	switch {
+	case !p.known:
+		p.planBlankAsk(&step, reader, now)
 	case now >= p.nextGossip && len(p.order) > 1:
 		p.planGossip(&step, now)
 	case reader != p.self:
@@ -195,69 +169,6 @@
 	return step
 }
 
-// planGossip asks another instance in turn, so that groups of instances that do not
-// know of each other, each with a reader of its own, become one.
-func (p *Plan) planGossip(step *Step, now time.Duration) {
-	if p.asking != "" {
-		return
-	}
-	p.nextGossip = now + p.settings.GossipInterval
-	for range p.order {
-		p.gossiped = (p.gossiped + 1) % len(p.order)
-		candidate := p.order[p.gossiped]
-		if candidate.name != p.self && candidate.restUntil <= now {
-			p.asking, p.askedAt, p.gossiping = candidate.name, now, true
-			step.Ask = candidate.name
-			return
-		}
-	}
-}
-
-// readers is the number of instances that read the store when all is well.
-func (p *Plan) readers() int {
-	return 1 + (len(p.order)-1)/max(p.settings.FollowersPerReader, 1)
-}
-
-// reader returns the instance to ask: this one if it is one of the first that are
-// not passed over, else the one of them that its hash picks. An instance whose last
-// read failed passes itself over, because the store may turn it away alone.
-func (p *Plan) reader(now time.Duration) string {
-	var first []string
-	for _, candidate := range p.order {
-		if p.passedOver(candidate, now) {
-			continue
-		}
-		first = append(first, candidate.name)
-		if len(first) == p.readers() {
-			break
-		}
-	}
-	if len(first) == 0 || slices.Contains(first, p.self) {
-		return p.self
-	}
-	return first[xxhash.Sum64String(p.self)%uint64(len(first))]
-}
-
-func (p *Plan) passedOver(candidate *peer, now time.Duration) bool {
-	if candidate.name == p.self {
-		return p.turnedAway
-	}
-	return candidate.restUntil > now
-}
-
-func (p *Plan) planAsk(step *Step, reader string, now time.Duration) {
-	if p.asking != "" {
-		return
-	}
-	if now < p.nextAsk {
-		step.Wake = min(step.Wake, p.nextAsk)
-		return
-	}
-	p.asking, p.askedAt = reader, now
-	p.nextAsk = now + p.settings.Interval
-	step.Ask = reader
-}
-
 func (p *Plan) planRead(step *Step, isReader bool, now time.Duration) {
 	if p.reading {
 		return
@@ -321,69 +232,3 @@
 	backoff := p.settings.Interval / firstRetryPart << min(p.failures-1, maxDoublings)
 	p.nextRead = now + min(backoff, p.settings.MaxBackoff)
 }
-
-// Answer is how a peer answered a question.
-type Answer uint8
-
-// Answers. A stale peer does not read the store itself, or knows nothing newer than
-// the limit of the age: two instances that only ask each other would both age.
-const (
-	Fresh Answer = iota
-	Stale
-	Silent
-)
-
-// Judge returns what an answer with knowledge of an age is worth.
-func (p *Plan) Judge(reads bool, age time.Duration) Answer {
-	if reads && age < p.settings.MaxAge {
-		return Fresh
-	}
-	return Stale
-}
-
-// AskDone notes the end of a question and the age of the answer's knowledge. A
-// peer that is not fresh is passed over for a time. The next question follows the
-// reader's next read.
-func (p *Plan) AskDone(now time.Duration, name string, answer Answer, age time.Duration) {
-	p.asking = ""
-	gossip := p.gossiping
-	p.gossiping = false
-	asked := p.find(name)
-	if asked == nil || gossip && answer == Stale {
-		return
-	}
-	switch answer {
-	case Fresh:
-		asked.failures, p.vain = 0, 0
-		untilRead := p.settings.Interval - age + p.settings.Interval/readPart
-		p.nextAsk = now + max(untilRead, p.settings.Interval/leastAskPart)
-		return
-	case Stale:
-		asked.failures = 0
-		asked.restUntil = now + p.settings.Interval*3/2
-	case Silent:
-		asked.restUntil = now + min(p.settings.PeerRest<<min(asked.failures, maxDoublings), p.settings.MaxPeerRest)
-		asked.failures++
-	}
-	asked.failedAt = now
-	p.vain++
-	if p.vain%vainAsks != 0 {
-		p.nextAsk = now
-	}
-}
-
-// Heard notes that a peer was known to run at a time: one that failed before that
-// may be asked again.
-func (p *Plan) Heard(name string, at time.Duration) {
-	if heard := p.find(name); heard != nil && at > heard.failedAt {
-		heard.restUntil, heard.failures = 0, 0
-	}
-}
-
-func (p *Plan) find(name string) *peer {
-	at := slices.IndexFunc(p.order, func(candidate *peer) bool { return candidate.name == name })
-	if at < 0 {
-		return nil
-	}
-	return p.order[at]
-}
--- a/internal/decision/freshness/freshness_test.go
+++ b/internal/decision/freshness/freshness_test.go
@@ -315,7 +315,7 @@
 		t.Error("the silent peer is asked again at once")
 	}
 	p.Heard(first, askTimeout+step)
-	if rest := p.find(first).restUntil; rest != 0 {
+	if rest := p.byName[first].restUntil; rest != 0 {
 		t.Errorf("a peer that is heard of rests until %v", rest)
 	}
 }
--- a/internal/discovery/metrics.go
+++ b/internal/discovery/metrics.go
@@ -12,6 +12,7 @@
 	readSeconds prometheus.Histogram
 	asks        *prometheus.CounterVec
 	askSeconds  prometheus.Histogram
+	putOff      prometheus.Counter
 }
 
 // callBuckets are the bounds of latencies of calls, in seconds.
@@ -32,8 +33,11 @@
 		askSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "burdock_peer_ask_seconds", Help: "Duration of questions to peers.", Buckets: callBuckets,
 		}),
+		putOff: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "burdock_peer_answers_put_off_total", Help: "Questions of peers for everything that were put off.",
+		}),
 	}
-	registry.MustRegister(m.reads, m.readSeconds, m.asks, m.askSeconds, pools{knowledge},
+	registry.MustRegister(m.reads, m.readSeconds, m.asks, m.askSeconds, m.putOff, pools{knowledge},
 		gauge("burdock_knowledge_age_seconds", "Time since the store confirmed what the instance knows.", func() float64 {
 			now := knowledge.Now()
 			_, fresh := knowledge.Current(now)
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -24,8 +24,12 @@
 	Reads func() bool
 	// Hear is told of the instances that ask.
 	Hear func(ctx context.Context, peers ...*syncpb.Peer)
+	// Metrics counts the answers put off.
+	Metrics *Metrics
 
 	mu sync.Mutex
+	// fullUntil is when the next answer may hold all endpoints.
+	fullUntil time.Duration
 	// encoded is the last configuration sent, of the revision encodedAt.
 	encoded   []byte
 	encodedAt uint64
@@ -33,6 +37,16 @@
 
 var _ syncpb.Sync = (*Service)(nil)
 
+// fullPerSecond is how many endpoints an instance tells a second in answers that hold
+// all of them, about 900 kB. When many instances start, several answers at a time on a
+// narrow link would all come too late.
+const fullPerSecond = 15_000
+
+// NewService returns a service without a listener.
+func NewService(knowledge *Knowledge, peers *Peers, reads func() bool, hear func(context.Context, ...*syncpb.Peer), metrics *Metrics) *Service {
+	return &Service{Knowledge: knowledge, Peers: peers, Reads: reads, Hear: hear, Metrics: metrics}
+}
+
 // Fetch implements the Sync service.
 func (s *Service) Fetch(ctx context.Context, request *syncpb.FetchRequest) (*syncpb.FetchResponse, error) {
 	if request.Asker != nil {
@@ -40,6 +54,11 @@
 	}
 	now := s.Knowledge.Now()
 	update, confirmedAt, returnedAt := s.Knowledge.Difference(request.ConfigurationRevision, request.EndpointsRevision)
+	if update.Full && !s.allowFull(now, len(update.Endpoints)) {
+		// The asker goes on to another peer.
+		s.Metrics.putOff.Inc()
+		return &syncpb.FetchResponse{Peers: s.Peers.Told(now)}, nil
+	}
 	configuration, err := s.encode(update.Configuration)
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
@@ -65,6 +84,18 @@
 	return response, nil
 }
 
+// allowFull reports whether an answer may hold all endpoints now: one answer at a time,
+// for as long as its transfer may take.
+func (s *Service) allowFull(now time.Duration, endpoints int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now < s.fullUntil {
+		return false
+	}
+	s.fullUntil = now + time.Duration(endpoints)*time.Second/fullPerSecond
+	return true
+}
+
 // encode returns a configuration for an answer, nil for none.
 func (s *Service) encode(c *directory.Configuration) ([]byte, error) {
 	if c == nil {
@@ -105,13 +136,19 @@
 	http *http.Client
 }
 
+// longAnswerTimeout bounds the transfer of an answer, which may hold all endpoints.
+const longAnswerTimeout = 2 * time.Second
+
+// newPeerClient returns a client that waits for the start of an answer for a time at
+// most.
 func newPeerClient(timeout time.Duration) *peerClient {
 	return &peerClient{http: &http.Client{
-		Timeout: timeout,
+		Timeout: max(longAnswerTimeout, timeout),
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
-			MaxIdleConnsPerHost: 1,
-			DisableCompression:  true,
+			DialContext:           (&net.Dialer{Timeout: timeout}).DialContext,
+			ResponseHeaderTimeout: timeout,
+			MaxIdleConnsPerHost:   1,
+			DisableCompression:    true,
 		},
 	}}
 }
--- a/internal/discovery/slope_test.go
+++ b/internal/discovery/slope_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/protobuf/proto"
 
 	"burdockrelay.example/burdockrelay/common"
@@ -71,16 +72,24 @@
 	}
 }
 
+// newTestService returns the service of an instance that reads the store.
+func newTestService(k *Knowledge, peers *Peers) *Service {
+	reads := func() bool { return true }
+	hear := func(context.Context, ...*syncpb.Peer) {}
+	return NewService(k, peers, reads, hear, NewMetrics(prometheus.NewRegistry(), k, peers))
+}
+
 // BenchmarkAnswerSlope encodes the answer to a peer that knows nothing at three sizes.
 func BenchmarkAnswerSlope(b *testing.B) {
 	for _, endpoints := range []int{3500, 7000, 14_000} {
 		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
 			k := newKnowledge()
 			k.Apply(fleet(endpoints), Word{})
-			s := &Service{Knowledge: k, Peers: NewPeers(Peer{Name: "entry-1"}, nil), Reads: func() bool { return true }}
+			s := newTestService(k, NewPeers(Peer{Name: "entry-1"}, nil))
 			size := 0
 			b.ReportAllocs()
 			for range b.N {
+				s.fullUntil = 0
 				answer, err := s.Fetch(b.Context(), &syncpb.FetchRequest{})
 				if err != nil {
 					b.Fatal(err)
@@ -135,10 +144,7 @@
 	k := newKnowledge()
 	k.Apply(fleet(14_000), Word{})
 	asker := NewPeers(Peer{Name: "entry-2", Address: netip.MustParseAddrPort("10.0.0.2:17720")}, nil)
-	s := &Service{
-		Knowledge: k, Peers: NewPeers(Peer{Name: "entry-2"}, nil), Reads: func() bool { return true },
-		Hear: func(context.Context, ...*syncpb.Peer) {},
-	}
+	s := newTestService(k, NewPeers(Peer{Name: "entry-2"}, nil))
 	go func() { _ = s.Serve(b.Context(), counting) }()
 	client := newPeerClient(time.Second)
 	request := &syncpb.FetchRequest{
--- a/internal/discovery/syncer.go
+++ b/internal/discovery/syncer.go
@@ -19,8 +19,10 @@
 	// Revision returns the store's present revision by the cheapest linearizable
 	// read.
 	Revision(ctx context.Context) (uint64, error)
-	// Everything returns the configuration and all endpoints.
-	Everything(ctx context.Context) (directory.Update, error)
+	// Everything returns the configuration and all endpoints. proceed is called before
+	// each part of a list but the first, perhaps for two lists at a time; its error
+	// ends the read.
+	Everything(ctx context.Context, proceed func(context.Context) error) (directory.Update, error)
 	// Changes returns what has changed after a revision. It may be incomplete
 	// while the store forgets its history: the update then ends below the
 	// revision that Revision returned.
@@ -28,21 +30,11 @@
 }
 
 const (
-	// readPatience is the time without an answer after which another read may
-	// begin, on another connection: packets of the first one may be lost for good.
-	// The first one goes on until readTimeout, because the store may be slow.
-	readPatience = 400 * time.Millisecond
-	readTimeout  = 2500 * time.Millisecond
-	// maxReads bounds the reads under way.
-	maxReads = 4
-	// changesTimes is how many times as long as the read before it a read of
-	// changes may take, at least minChangesTime: it waits without end while the
-	// store forgets its history.
-	changesTimes   = 4
-	minChangesTime = 200 * time.Millisecond
 	// seedInterval is the time between questions to the seeds while no peer is
-	// known.
-	seedInterval = time.Second
+	// known, blankSeedInterval while nothing at all is: the seeds may have started
+	// at the same time.
+	seedInterval      = time.Second
+	blankSeedInterval = 100 * time.Millisecond
 	// seedHold is how long the first read of the store waits for the seeds, which
 	// answer in a few milliseconds when they can.
 	seedHold = 30 * time.Millisecond
@@ -67,8 +59,10 @@
 	logger    *zap.Logger
 
 	events chan func()
-	// reading counts the reads under way.
-	reading int
+	// reading counts the reads under way; longRead is set while one of them goes on
+	// with a long list.
+	reading  int
+	longRead atomic.Bool
 	// fullUntil is when changes are read again instead of everything.
 	fullUntil time.Duration
 	storeUp   bool
@@ -76,8 +70,10 @@
 	reads atomic.Bool
 	// forgotAt is when peers were last looked through for those that are gone.
 	forgotAt time.Duration
-	// seedsAsked counts the seeds that have not answered yet.
-	seedsAsked int
+	// seedsAsked counts the seeds that have not answered yet, seedsAskedAt is when they
+	// were asked last, negative for never.
+	seedsAsked   int
+	seedsAskedAt time.Duration
 }
 
 // NewSyncer returns a syncer that reads the source and asks peers, so that a change
@@ -87,26 +83,22 @@
 		plan:      freshness.NewPlan(self, freshness.SettingsFor(bound)),
 		knowledge: knowledge, peers: peers, source: source, client: newPeerClient(bound / askPart),
 		metrics: metrics, logger: logger,
-		events: make(chan func(), 64), storeUp: true,
+		events: make(chan func(), 64), storeUp: true, seedsAskedAt: -seedInterval,
 	}
 }
 
 // Run keeps the knowledge fresh until the context ends.
 func (s *Syncer) Run(ctx context.Context) error {
-	seedsAskedAt := -seedInterval
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		now := s.knowledge.Now()
-		if now-seedsAskedAt >= seedInterval && !s.plan.HasPeers() {
-			seedsAskedAt = now
-			s.askSeeds(ctx)
-		}
+		askSeeds := s.askSeeds(ctx, now)
 		s.forgetPeers(now)
 		step := s.plan.Next(now)
 		s.reads.Store(s.plan.Reads(now))
 		s.start(ctx, step)
-		wake := step.Wake
+		wake := min(step.Wake, askSeeds)
 		settle, changes := s.knowledge.Settle()
 		if settle != 0 {
 			wake = min(wake, settle)
@@ -146,94 +138,6 @@
 	go s.ask(ctx, step.Ask, address)
 }
 
-// startRead begins a read of the store. When it does not end in readPatience it
-// counts as failed, and as done after all if it succeeds later.
-func (s *Syncer) startRead(ctx context.Context) {
-	now := s.knowledge.Now()
-	if s.reading >= maxReads {
-		s.plan.ReadDone(now, false)
-		return
-	}
-	s.reading++
-	ended := false
-	full := now < s.fullUntil
-	go func() {
-		update, incomplete, err := s.read(ctx, full)
-		s.post(ctx, func() {
-			ended = true
-			s.readEnded(update, incomplete, err, now)
-		})
-	}()
-	time.AfterFunc(readPatience, func() {
-		s.post(ctx, func() {
-			if !ended {
-				s.plan.ReadDone(s.knowledge.Now(), false)
-				s.noteStore(errSlow, readPatience)
-			}
-		})
-	})
-}
-
-// errSlow is the state of a read that has not ended in readPatience.
-var errSlow = resultcode.Errorf(resultcode.PlatformUnreachable, "no answer yet")
-
-func (s *Syncer) readEnded(update directory.Update, incomplete bool, err error, began time.Duration) {
-	now := s.knowledge.Now()
-	s.reading--
-	s.metrics.read(err == nil, now-began)
-	if incomplete {
-		s.fullUntil = now + fullReadsAfterMiss
-	}
-	if err == nil || now-began < readPatience {
-		s.plan.ReadDone(now, err == nil)
-		s.noteStore(err, now-began)
-	}
-	if err == nil {
-		s.apply(update, Word{ConfirmedAt: began, FromStore: true}, "store")
-	}
-}
-
-// read reads the store once.
-func (s *Syncer) read(ctx context.Context, full bool) (update directory.Update, incomplete bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	return s.fetch(ctx, full)
-}
-
-// fetch returns what has changed in the store, nothing when its revision has not.
-func (s *Syncer) fetch(ctx context.Context, full bool) (update directory.Update, incomplete bool, err error) {
-	at, _ := s.knowledge.At()
-	if at == 0 {
-		update, err = s.source.Everything(ctx)
-		return update, false, err
-	}
-	began := s.knowledge.Now()
-	revision, err := s.source.Revision(ctx)
-	if err != nil {
-		return update, false, err
-	}
-	if revision <= at {
-		return directory.Update{Since: at, At: at}, false, nil
-	}
-	if !full {
-		took := s.knowledge.Now() - began
-		update, err = s.changes(ctx, max(changesTimes*took, minChangesTime), at)
-		if err == nil && update.At >= revision {
-			return update, false, nil
-		}
-		s.logger.Info("changes_incomplete", zap.Uint64("since", at), zap.Uint64("revision", revision),
-			zap.Uint64("at", update.At), zap.Error(err))
-	}
-	update, err = s.source.Everything(ctx)
-	return update, !full, err
-}
-
-func (s *Syncer) changes(ctx context.Context, timeout time.Duration, since uint64) (directory.Update, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return s.source.Changes(ctx, since)
-}
-
 // noteStore tells of a lost or regained store.
 func (s *Syncer) noteStore(err error, took time.Duration) {
 	up := err == nil
@@ -278,10 +182,11 @@
 	}
 	s.hear(answer.Peers, now)
 	age := time.Duration(answer.AgeUs) * time.Microsecond
-	s.plan.AskDone(now, name, s.plan.Judge(answer.Reads, age), age)
 	if !answer.Known {
+		s.plan.AskDone(now, name, freshness.Blank, 0)
 		return
 	}
+	s.plan.AskDone(now, name, s.plan.Judge(answer.Reads, age), age)
 	word := Word{ConfirmedAt: asked - age}
 	if answer.ReturnedUs > 0 {
 		word.ReturnedAt = asked - time.Duration(answer.ReturnedUs)*time.Microsecond
@@ -331,9 +236,12 @@
 	}
 }
 
+// maxPeersLogged bounds the names in one line.
+const maxPeersLogged = 8
+
 // hear takes peers that were told of.
 func (s *Syncer) hear(told []*syncpb.Peer, now time.Duration) {
-	changed := false
+	var found []string
 	for _, wire := range told {
 		peer, heardAt, err := peerFromWire(wire, now)
 		if err != nil {
@@ -341,12 +249,12 @@
 			continue
 		}
 		if s.peers.Heard(peer, heardAt) {
-			changed = true
-			s.logger.Info("peer_found", zap.String("peer", peer.Name), zap.Stringer("address", peer.Address))
+			found = append(found, peer.Name)
 		}
 		s.plan.Heard(peer.Name, heardAt)
 	}
-	if changed {
+	if len(found) > 0 {
+		s.logger.Info("peers_found", zap.Int("count", len(found)), zap.Strings("peers", found[:min(len(found), maxPeersLogged)]))
 		s.peersChanged()
 	}
 }
@@ -382,19 +290,31 @@
 	s.post(ctx, func() { s.plan.SetSettings(freshness.SettingsFor(bound)) })
 }
 
-// askSeeds asks the instances that are known by address only.
-func (s *Syncer) askSeeds(ctx context.Context) {
+// askSeeds asks the instances that are known by address only, at intervals while no
+// peer is known, and returns when to call it next.
+func (s *Syncer) askSeeds(ctx context.Context, now time.Duration) (next time.Duration) {
+	interval := seedInterval
+	if !s.knowledge.Known() {
+		interval = blankSeedInterval
+	}
 	seeds := s.peers.Seeds()
-	if len(seeds) > 0 && s.seedsAsked == 0 {
-		s.plan.HoldFirstRead(s.knowledge.Now() + seedHold)
+	if len(seeds) == 0 || s.seedsAsked > 0 || s.plan.HasPeers() {
+		return now + seedInterval
+	}
+	if next := s.seedsAskedAt + interval; now < next {
+		return next
+	}
+	if s.seedsAskedAt < 0 {
+		s.plan.HoldFirstRead(now + seedHold)
 	}
-	s.seedsAsked += len(seeds)
+	s.seedsAskedAt, s.seedsAsked = now, len(seeds)
 	for _, seed := range seeds {
 		go func() {
 			s.ask(ctx, seed.String(), seed)
 			s.post(ctx, s.seedAnswered)
 		}()
 	}
+	return now + interval
 }
 
 // seedAnswered lets the first read go on when no seed is left that could answer.
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -102,7 +102,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := i.listen(ctx, registry, peers); err != nil {
+	service := discovery.NewService(i.knowledge, peers, i.syncer.Reads, i.syncer.Hear, metrics)
+	if err := i.listen(ctx, registry, service); err != nil {
 		_ = i.Kill()
 		return nil, err
 	}
@@ -129,7 +130,7 @@
 }
 
 // listen opens the listeners and serves them.
-func (i *Instance) listen(ctx context.Context, registry *prometheus.Registry, peers *discovery.Peers) error {
+func (i *Instance) listen(ctx context.Context, registry *prometheus.Registry, service *discovery.Service) error {
 	ready, err := net.Listen("tcp", i.settings.ReadyListen.String())
 	if err != nil {
 		return fmt.Errorf("listen for readiness: %w", err)
@@ -139,7 +140,6 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	service := &discovery.Service{Knowledge: i.knowledge, Peers: peers, Reads: i.syncer.Reads, Hear: i.syncer.Hear}
 	i.run(func() error { return service.Serve(ctx, peerListener) })
 	if !i.settings.MetricsListen.IsValid() {
 		return nil
--- a/standins/estate/discovery_test.go
+++ b/standins/estate/discovery_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -63,7 +64,7 @@
 		n.asked.Add(1)
 		syncer.Hear(ctx, peers...)
 	}
-	service := &discovery.Service{Knowledge: n.knowledge, Peers: n.peers, Reads: syncer.Reads, Hear: hear}
+	service := discovery.NewService(n.knowledge, n.peers, syncer.Reads, hear, metrics)
 	registry := &discovery.Registry{Store: client, Self: self, Peers: n.peers, Logger: zap.NewNop(), Found: syncer.Hear}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 3)
@@ -117,7 +118,7 @@
 }
 
 func register(store *estate.Store, id int, state string) {
-	store.Put("servers", fmt.Sprintf("i-%x", id), fmt.Appendf(nil, `{"service":"desk","address":"127.0.2.%d:8080","zone":"fukuoka","version":"v1","max_concurrency":2,"state":%q,"warmup_left_ms":0,"sequence":1,"born":%d}`, id, state, id))
+	store.Put("servers", fmt.Sprintf("i-%x", id), fmt.Appendf(nil, `{"service":"desk","address":"127.0.%d.%d:8080","zone":"fukuoka","version":"v1","max_concurrency":2,"state":%q,"warmup_left_ms":0,"sequence":1,"born":%d}`, 2+id>>8, id&255, state, id))
 }
 
 // endpoints returns the endpoints that new flows may go to.
@@ -230,6 +231,50 @@
 	within(t, 2*bound, "newer configuration", func() bool { return fresh.version() == 5 })
 }
 
+// forward passes connections on from an address to another one until the test ends.
+func forward(t *testing.T, from, to netip.AddrPort) {
+	t.Helper()
+	listener, err := net.Listen("tcp", from.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			caller, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			callee, err := net.Dial("tcp", to.String())
+			if err != nil {
+				_ = caller.Close()
+				continue
+			}
+			go func() { _, _ = io.Copy(callee, caller); _ = callee.Close() }()
+			go func() { _, _ = io.Copy(caller, callee); _ = caller.Close() }()
+		}
+	}()
+}
+
+// Guards against an instance that waits before it asks its seed again, when both have
+// started at the same moment and the seed did not listen yet.
+func TestSeedThatStartsAMomentLater(t *testing.T) {
+	t.Parallel()
+	old := startNode(t, estateWith(2), "entry-1")
+	within(t, bound, "start", func() bool { return old.endpoints() == 2 })
+	reserved, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.MustParseAddrPort(reserved.Addr().String())
+	_ = reserved.Close()
+	// Its store tells it nothing.
+	fresh := startNode(t, estate.NewStore(), "entry-2", &node{address: address})
+	time.Sleep(150 * time.Millisecond)
+	forward(t, address, old.address)
+	within(t, bound/2, "knowledge from the seed", func() bool { return fresh.endpoints() == 2 })
+}
+
 // Guards against endpoints that are given up when an outage of the store has let
 // their entries expire, and against ones that are kept although they do not return.
 func TestEntriesThatExpireInAnOutage(t *testing.T) {
@@ -320,6 +365,30 @@
 	within(t, bound, "and readable again", func() bool { return n.endpoints() == 3 })
 }
 
+// Guards against reads of a long list that are given up and begun anew, beside each
+// other, because the whole list takes longer than one answer.
+func TestLongListIsReadToItsEnd(t *testing.T) {
+	t.Parallel()
+	const endpoints, parts, partDelay = 1200, 12, 300 * time.Millisecond
+	store := estateWith(endpoints)
+	store.SetPageSize(endpoints / parts)
+	var nodes []*node
+	for i := range 3 {
+		n := startNode(t, store, fmt.Sprintf("entry-%d", i+1), nodes...)
+		n.door.Set(estate.Faults{Delay: partDelay})
+		nodes = append(nodes, n)
+	}
+	// The time that one read takes, and that of the answers of peers.
+	limit := parts*partDelay + 2*time.Second
+	for _, n := range nodes {
+		within(t, limit, "long list at "+n.name, func() bool { return n.endpoints() == endpoints })
+	}
+	// Four reads of an instance overlap at most.
+	if calls := store.Calls(); calls > len(nodes)*4*(parts+2) {
+		t.Errorf("%d calls for lists of %d parts", calls, parts)
+	}
+}
+
 // Guards against calls to the store that grow with the instances.
 func TestFollowersDoNotReadTheStore(t *testing.T) {
 	t.Parallel()
--- a/standins/estate/store.go
+++ b/standins/estate/store.go
@@ -40,8 +40,9 @@
 	// mute stops the watches from hearing of changes.
 	mute bool
 	// changed is closed and replaced at each change.
-	changed chan struct{}
-	calls   int
+	changed  chan struct{}
+	calls    int
+	pageSize int
 }
 
 // NewStore returns an empty store.
@@ -51,6 +52,7 @@
 		objects:  make(map[string]map[string]object),
 		history:  make(map[string][]change),
 		changed:  make(chan struct{}),
+		pageSize: defaultPageSize,
 	}
 }
 
@@ -139,8 +141,15 @@
 	return slices.Sorted(maps.Keys(s.objects[kind]))
 }
 
-// pageSize is the number of objects in one answer to a list.
-const pageSize = 50
+// defaultPageSize is the number of objects in one answer to a list.
+const defaultPageSize = 50
+
+// SetPageSize changes the number of objects in one answer to a list.
+func (s *Store) SetPageSize(objects int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pageSize = objects
+}
 
 // list returns the objects of a kind behind a name.
 func (s *Store) list(kind, after string) (items []object, more bool, revision uint64) {
@@ -151,7 +160,7 @@
 		if name <= after {
 			continue
 		}
-		if len(items) == pageSize {
+		if len(items) == s.pageSize {
 			return items, true, s.revision
 		}
 		items = append(items, s.objects[kind][name])
