--- a/internal/decision/freshness/freshness.go
+++ b/internal/decision/freshness/freshness.go
@@ -142,6 +142,12 @@
 // SetSettings changes the limits.
 func (p *Plan) SetSettings(settings Settings) { p.settings = settings }
 
+// Age returns the time since what is known was confirmed, false when nothing is
+// known.
+func (p *Plan) Age(now time.Duration) (time.Duration, bool) {
+	return max(now-p.confirmedAt, 0), p.known
+}
+
 // Step is what to do now. Wake is when to ask for the next step if nothing has
 // happened before.
 type Step struct {
--- a/internal/decision/freshness/order.go
+++ b/internal/decision/freshness/order.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// peer is one member of the order.
 type peer struct {
 	name   string
 	weight uint64
@@ -42,15 +43,8 @@
 // HasPeers reports whether any other instance is known.
 func (p *Plan) HasPeers() bool { return len(p.order) > 1 }
 
-// Age returns the time since what is known was confirmed, false when nothing is
-// known.
-func (p *Plan) Age(now time.Duration) (time.Duration, bool) {
-	return max(now-p.confirmedAt, 0), p.known
-}
-
 // LongReadDelay returns how long the instance waits, from the start of a read, before
-// it goes on with a list that does not fit one answer of the store. Meanwhile a peer
-// may tell what the list holds. Peers that are passed over do not count.
+// it goes on with a list that takes long. Meanwhile a peer may tell what the list holds. Peers that are passed over do not count.
 func (p *Plan) LongReadDelay(now time.Duration) time.Duration {
 	delay := leastLongReadDelay
 	for _, candidate := range p.order {
--- a/internal/discovery/reads.go
+++ b/internal/discovery/reads.go
@@ -56,8 +56,8 @@
 	long bool
 }
 
-// startRead begins a read of the store. When it does not end in
-// readPatience it counts as failed, and as done after all if it succeeds later.
+// startRead begins a read of the store. When it does not end in readPatience it counts
+// as failed, and as done after all if it succeeds later.
 func (s *Syncer) startRead(ctx context.Context) {
 	now := s.knowledge.Now()
 	if s.reading >= maxReads {
