--- a/internal/decision/freshness/ask.go
+++ b/internal/decision/freshness/ask.go
@@ -10,7 +10,7 @@
 	}
 	p.nextGossip = now + p.settings.GossipInterval
 	if step.Ask = p.draw(now); step.Ask != "" {
-		p.asking, p.askedAt, p.gossiping = step.Ask, now, true
+		p.asking, p.gossiping = step.Ask, true
 	}
 }
 
@@ -31,11 +31,7 @@
 // one of them knows spreads from each instance that has it, so that neither the store
 // nor the readers have to tell all.
 func (p *Plan) planBlankAsk(step *Step, reader string, now time.Duration) {
-	if p.asking != "" {
-		return
-	}
-	if now < p.nextAsk {
-		step.Wake = min(step.Wake, p.nextAsk)
+	if !p.askDue(step, now) {
 		return
 	}
 	p.askReader = !p.askReader && reader != p.self
@@ -43,20 +39,29 @@
 		step.Ask = p.draw(now)
 	}
 	if step.Ask != "" {
-		p.asking, p.askedAt = step.Ask, now
+		p.asking = step.Ask
 		p.nextAsk = now + blankAskInterval
 	}
 }
 
-func (p *Plan) planAsk(step *Step, reader string, now time.Duration) {
+// askDue reports whether the next question may be asked now, and otherwise puts the time
+// of it into the step unless a question is under way.
+func (p *Plan) askDue(step *Step, now time.Duration) bool {
 	if p.asking != "" {
-		return
+		return false
 	}
 	if now < p.nextAsk {
 		step.Wake = min(step.Wake, p.nextAsk)
+		return false
+	}
+	return true
+}
+
+func (p *Plan) planAsk(step *Step, reader string, now time.Duration) {
+	if !p.askDue(step, now) {
 		return
 	}
-	p.asking, p.askedAt = reader, now
+	p.asking = reader
 	p.nextAsk = now + p.settings.Interval
 	step.Ask = reader
 }
--- a/internal/decision/freshness/freshness.go
+++ b/internal/decision/freshness/freshness.go
@@ -117,7 +117,6 @@
 	turnedAway bool
 	nextRead   time.Duration
 	asking     string
-	askedAt    time.Duration
 	nextAsk    time.Duration
 	nextGossip time.Duration
 	random     *rand.Rand
--- a/internal/decision/steering/view.go
+++ b/internal/decision/steering/view.go
@@ -161,9 +161,6 @@
 	return v.configuration.IdleTimeout
 }
 
-// Collisions returns the number of labels that several endpoints could have.
-func (v *View) Collisions() int { return v.labels.Collisions }
-
 func (v *View) resolve(l label.Label) *selection.Member {
 	position, found := v.labels.Resolve(l)
 	if !found {
--- a/internal/directory/catalog.go
+++ b/internal/directory/catalog.go
@@ -156,10 +156,17 @@
 	return c.ordered
 }
 
+// Len returns the number of known endpoints.
+func (c *Catalog) Len() int { return len(c.ordered) }
+
+// FullSince reports whether the difference from a revision holds all endpoints, because
+// the catalog may not know all that has left since.
+func (c *Catalog) FullSince(since uint64) bool { return since == 0 || since < c.historyFrom }
+
 // Difference returns the update from a revision to the present: only what has
 // changed when the catalog still knows that, else everything.
 func (c *Catalog) Difference(configurationRevision, since uint64) Update {
-	u := Update{Since: since, At: c.at, Full: since == 0 || since < c.historyFrom}
+	u := Update{Since: since, At: c.at, Full: c.FullSince(since)}
 	if c.configuration != nil && c.configuration.Revision > configurationRevision {
 		u.Configuration = c.configuration
 	}
--- a/internal/discovery/knowledge.go
+++ b/internal/discovery/knowledge.go
@@ -220,6 +220,14 @@
 	return applied
 }
 
+// FullSince reports whether the difference from a revision holds all endpoints, and how
+// many these are.
+func (k *Knowledge) FullSince(since uint64) (endpoints int, full bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.catalog.Len(), k.catalog.FullSince(since)
+}
+
 // Difference returns what the knowledge holds beyond two revisions, when it was
 // confirmed and when the store last came back.
 func (k *Knowledge) Difference(configurationRevision, since uint64) (u directory.Update, confirmedAt, returnedAt time.Duration) {
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -68,7 +68,7 @@
 // Run registers the instance, reads the others while none are known, and renews the
 // registration at intervals until the context ends. What fails is tried again.
 func (r *Registry) Run(ctx context.Context) error {
-	if !wait(ctx, registerDelay) {
+	if !objectstore.Pause(ctx, registerDelay) {
 		return nil
 	}
 	r.persist(ctx, func() error {
@@ -82,7 +82,7 @@
 	if interval == 0 {
 		interval = defaultRenewInterval
 	}
-	for wait(ctx, interval) {
+	for objectstore.Pause(ctx, interval) {
 		r.renewals++
 		r.persist(ctx, func() error {
 			err := r.register(ctx)
@@ -101,18 +101,6 @@
 	})
 }
 
-// wait waits for a time and returns true, or false when the context has ended.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // register writes the instance's object unless it is there already.
 func (r *Registry) register(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
@@ -171,19 +159,10 @@
 func (r *Registry) list(ctx context.Context) ([]objectstore.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	var objects []objectstore.Object
-	after := ""
-	for {
-		listing, err := r.Store.List(ctx, instanceKind, after)
-		if err != nil {
-			return nil, err
-		}
-		objects = append(objects, listing.Objects...)
-		if !listing.More || len(listing.Objects) == 0 {
-			return objects, nil
-		}
-		after = objects[len(objects)-1].Name
-	}
+	objects, _, err := objectstore.ReadAll(func(after string) (objectstore.Listing, error) {
+		return r.Store.List(ctx, instanceKind, after)
+	})
+	return objects, err
 }
 
 // removeLapsed removes the registrations that this instance has not seen change for a
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -42,23 +42,18 @@
 // narrow link would all come too late.
 const fullPerSecond = 15_000
 
-// NewService returns a service without a listener.
-func NewService(knowledge *Knowledge, peers *Peers, reads func() bool, hear func(context.Context, ...*syncpb.Peer), metrics *Metrics) *Service {
-	return &Service{Knowledge: knowledge, Peers: peers, Reads: reads, Hear: hear, Metrics: metrics}
-}
-
 // Fetch implements the Sync service.
 func (s *Service) Fetch(ctx context.Context, request *syncpb.FetchRequest) (*syncpb.FetchResponse, error) {
 	if request.Asker != nil {
 		s.Hear(ctx, request.Asker)
 	}
 	now := s.Knowledge.Now()
-	update, confirmedAt, returnedAt := s.Knowledge.Difference(request.ConfigurationRevision, request.EndpointsRevision)
-	if update.Full && !s.allowFull(now, len(update.Endpoints)) {
+	if endpoints, full := s.Knowledge.FullSince(request.EndpointsRevision); full && !s.allowFull(now, endpoints) {
 		// The asker goes on to another peer.
 		s.Metrics.putOff.Inc()
 		return &syncpb.FetchResponse{Peers: s.Peers.Told(now)}, nil
 	}
+	update, confirmedAt, returnedAt := s.Knowledge.Difference(request.ConfigurationRevision, request.EndpointsRevision)
 	configuration, err := s.encode(update.Configuration)
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
--- a/internal/discovery/slope_test.go
+++ b/internal/discovery/slope_test.go
@@ -76,7 +76,8 @@
 func newTestService(k *Knowledge, peers *Peers) *Service {
 	reads := func() bool { return true }
 	hear := func(context.Context, ...*syncpb.Peer) {}
-	return NewService(k, peers, reads, hear, NewMetrics(prometheus.NewRegistry(), k, peers))
+	metrics := NewMetrics(prometheus.NewRegistry(), k, peers)
+	return &Service{Knowledge: k, Peers: peers, Reads: reads, Hear: hear, Metrics: metrics}
 }
 
 // BenchmarkAnswerSlope encodes the answer to a peer that knows nothing at three sizes.
--- a/internal/discovery/syncer.go
+++ b/internal/discovery/syncer.go
@@ -293,17 +293,20 @@
 // askSeeds asks the instances that are known by address only, at intervals while no
 // peer is known, and returns when to call it next.
 func (s *Syncer) askSeeds(ctx context.Context, now time.Duration) (next time.Duration) {
+	if s.seedsAsked > 0 || s.plan.HasPeers() {
+		return now + seedInterval
+	}
 	interval := seedInterval
 	if !s.knowledge.Known() {
 		interval = blankSeedInterval
 	}
-	seeds := s.peers.Seeds()
-	if len(seeds) == 0 || s.seedsAsked > 0 || s.plan.HasPeers() {
-		return now + seedInterval
-	}
 	if next := s.seedsAskedAt + interval; now < next {
 		return next
 	}
+	seeds := s.peers.Seeds()
+	if len(seeds) == 0 {
+		return now + seedInterval
+	}
 	if s.seedsAskedAt < 0 {
 		s.plan.HoldFirstRead(now + seedHold)
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -83,8 +83,8 @@
 	s.started.Store(true)
 	s.running.Store(int64(s.knowledge.Now()))
 	s.tomb.Go(s.run)
-	s.tomb.Go(s.beat)
-	s.tomb.Go(s.expire)
+	s.tomb.Go(func() error { return s.every(heartbeat, s.beat) })
+	s.tomb.Go(func() error { return s.every(expireInterval, s.expire) })
 }
 
 // Dead is closed when the server has ended.
@@ -156,27 +156,31 @@
 	pauseAfter = 400 * time.Millisecond
 )
 
-// beat notes at intervals that the process runs, and looks for endpoints that have not
-// answered.
-func (s *Server) beat() error {
-	ticker := time.NewTicker(heartbeat)
+// every calls a function at an interval until the server ends.
+func (s *Server) every(interval time.Duration, call func()) error {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-s.tomb.Dying():
 			return nil
 		case <-ticker.C:
-		}
-		now := s.knowledge.Now()
-		s.notePause(now)
-		s.running.Store(int64(now))
-		view, _ := s.knowledge.Current(now)
-		for _, m := range view.Overdue(now) {
-			s.observer.suspected(m)
+			call()
 		}
 	}
 }
 
+// beat notes that the process runs, and looks for endpoints that have not answered.
+func (s *Server) beat() {
+	now := s.knowledge.Now()
+	s.notePause(now)
+	s.running.Store(int64(now))
+	view, _ := s.knowledge.Current(now)
+	for _, m := range view.Overdue(now) {
+		s.observer.suspected(m)
+	}
+}
+
 // notePause looks for a pause of the process, before each packet too, because packets
 // may have waited in the socket meanwhile.
 func (s *Server) notePause(now time.Duration) {
@@ -213,20 +217,7 @@
 const expireInterval = 500 * time.Millisecond
 
 // expire ends idle flows.
-func (s *Server) expire() error {
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-s.tomb.Dying():
-			return nil
-		case <-ticker.C:
-			s.expireOnce()
-		}
-	}
-}
-
-func (s *Server) expireOnce() {
+func (s *Server) expire() {
 	now := s.knowledge.Now()
 	view, _ := s.knowledge.Current(now)
 	var expired []steering.Expired
--- a/internal/objectstore/caller.go
+++ b/internal/objectstore/caller.go
@@ -183,7 +183,7 @@
 		if ctx.Err() == nil {
 			failed(err)
 		}
-		pause(ctx, intervals.NextBackOff())
+		Pause(ctx, intervals.NextBackOff())
 	}
 }
 
@@ -213,15 +213,18 @@
 		if ctx.Err() == nil {
 			failed(err)
 		}
-		pause(ctx, intervals.NextBackOff())
+		Pause(ctx, intervals.NextBackOff())
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
+// Pause waits for a time and returns true, or false when the context has ended.
+func Pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+		return false
 	case <-timer.C:
+		return true
 	}
 }
--- a/internal/objectstore/objectstore.go
+++ b/internal/objectstore/objectstore.go
@@ -25,6 +25,26 @@
 	More bool
 }
 
+// ReadAll returns all objects of a list that part gives piece by piece, each behind a
+// name, and the revision that the list is complete at: that of the first part.
+func ReadAll(part func(after string) (Listing, error)) (objects []Object, at uint64, err error) {
+	after := ""
+	for {
+		listing, err := part(after)
+		if err != nil {
+			return nil, 0, err
+		}
+		if at == 0 {
+			at = listing.Revision
+		}
+		objects = append(objects, listing.Objects...)
+		if !listing.More || len(listing.Objects) == 0 {
+			return objects, at, nil
+		}
+		after = objects[len(objects)-1].Name
+	}
+}
+
 // Event is one change of an object.
 type Event struct {
 	Object  Object
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -102,7 +102,9 @@
 	if err != nil {
 		return nil, err
 	}
-	service := discovery.NewService(i.knowledge, peers, i.syncer.Reads, i.syncer.Hear, metrics)
+	service := &discovery.Service{
+		Knowledge: i.knowledge, Peers: peers, Reads: i.syncer.Reads, Hear: i.syncer.Hear, Metrics: metrics,
+	}
 	if err := i.listen(ctx, registry, service); err != nil {
 		_ = i.Kill()
 		return nil, err
--- a/standins/estate/discovery_test.go
+++ b/standins/estate/discovery_test.go
@@ -64,7 +64,7 @@
 		n.asked.Add(1)
 		syncer.Hear(ctx, peers...)
 	}
-	service := discovery.NewService(n.knowledge, n.peers, syncer.Reads, hear, metrics)
+	service := &discovery.Service{Knowledge: n.knowledge, Peers: n.peers, Reads: syncer.Reads, Hear: hear, Metrics: metrics}
 	registry := &discovery.Registry{Store: client, Self: self, Peers: n.peers, Logger: zap.NewNop(), Found: syncer.Hear}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 3)
