Start the goroutines of a component from one of them

Cause: a tomb panics when a goroutine is started after all of its goroutines have ended. burdock-relayd ended that way when the first of two concurrent store calls failed before the second one was started, and when the packet server was stopped while it started. relayd.Start also waited for a tomb without goroutines when the readiness port was taken, so it hung instead of reporting the error.

Change: lifecycle.Go starts all jobs from a goroutine of the tomb.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -19,6 +19,7 @@
 	"burdockrelay.example/burdockrelay/internal/decision/health"
 	"burdockrelay.example/burdockrelay/internal/decision/membership"
 	"burdockrelay.example/burdockrelay/internal/decision/release"
+	"burdockrelay.example/burdockrelay/internal/lifecycle"
 	"burdockrelay.example/burdockrelay/internal/peer"
 	"burdockrelay.example/burdockrelay/internal/platform"
 	"burdockrelay.example/burdockrelay/internal/settings"
@@ -137,16 +138,17 @@
 		c.group.run,
 		func(ctx context.Context) error { return peer.Serve(ctx, c.listener, &peerService{c.core}) },
 	}
-	t.Go(func() error {
-		for _, job := range jobs {
-			t.Go(func() error { return job(ctx) })
-		}
-		return c.membership.receive()
-	})
-	t.Go(func() error {
-		<-t.Dying()
-		return c.core.transport.Close()
-	})
+	running := []func() error{
+		c.membership.receive,
+		func() error {
+			<-t.Dying()
+			return c.core.transport.Close()
+		},
+	}
+	for _, job := range jobs {
+		running = append(running, func() error { return job(ctx) })
+	}
+	lifecycle.Go(t, running...)
 }
 
 // Dead is closed when all controllers have ended.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -21,6 +21,7 @@
 
 	"burdockrelay.example/burdockrelay/internal/decision/flow"
 	"burdockrelay.example/burdockrelay/internal/decision/lease"
+	"burdockrelay.example/burdockrelay/internal/lifecycle"
 	"burdockrelay.example/burdockrelay/internal/telemetry"
 	"burdockrelay.example/burdockrelay/proto/entrypb"
 )
@@ -185,32 +186,34 @@
 
 // Start starts the goroutines that handle packets and requests.
 func (s *Server) Start() {
+	jobs := []func() error{s.closeSocketsOnExit, s.expire, s.runOrphanDetector}
 	for _, w := range s.workers {
-		s.tomb.Go(w.run)
+		jobs = append(jobs, w.run)
 	}
-	s.tomb.Go(s.expire)
-	s.tomb.Go(s.runOrphanDetector)
-	s.tomb.Go(s.closeSocketsOnExit)
-	s.serve(s.apiListener, http.MaxBytesHandler(entrypb.NewEntryServer(&service{server: s}), maxRequestBytes))
+	api := http.MaxBytesHandler(entrypb.NewEntryServer(&service{server: s}), maxRequestBytes)
+	jobs = append(jobs, s.serve(s.apiListener, api)...)
 	if s.metricsListener != nil {
-		s.serve(s.metricsListener, telemetry.MetricsHandler(s.registry))
+		jobs = append(jobs, s.serve(s.metricsListener, telemetry.MetricsHandler(s.registry))...)
 	}
+	lifecycle.Go(&s.tomb, jobs...)
 }
 
-func (s *Server) serve(listener net.Listener, handler http.Handler) {
+// serve returns the jobs that serve HTTP on a listener until the server ends.
+func (s *Server) serve(listener net.Listener, handler http.Handler) []func() error {
 	server := &http.Server{Handler: handler, ReadTimeout: readTimeout}
-	s.tomb.Go(func() error {
+	serve := func() error {
 		if err := server.Serve(listener); s.tomb.Alive() {
 			return fmt.Errorf("serve %s: %w", listener.Addr(), err)
 		}
 		return nil
-	})
-	s.tomb.Go(func() error {
+	}
+	shutDownOnExit := func() error {
 		<-s.tomb.Dying()
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
 		return server.Shutdown(ctx)
-	})
+	}
+	return []func() error{serve, shutDownOnExit}
 }
 
 func (s *Server) closeSocketsOnExit() error {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -13,6 +13,7 @@
 
 	"burdockrelay.example/burdockrelay/internal/decision/label"
 	"burdockrelay.example/burdockrelay/internal/decision/steering"
+	"burdockrelay.example/burdockrelay/internal/lifecycle"
 	"burdockrelay.example/burdockrelay/internal/resultcode"
 )
 
@@ -83,9 +84,11 @@
 func (s *Server) Start() {
 	s.started.Store(true)
 	s.lastHeartbeat.Store(int64(s.views.Now()))
-	s.tomb.Go(s.run)
-	s.tomb.Go(func() error { return s.runEvery(heartbeatInterval, s.heartbeat) })
-	s.tomb.Go(func() error { return s.runEvery(expireInterval, s.expire) })
+	lifecycle.Go(&s.tomb,
+		s.run,
+		func() error { return s.runEvery(heartbeatInterval, s.heartbeat) },
+		func() error { return s.runEvery(expireInterval, s.expire) },
+	)
 }
 
 // Dead returns a channel that is closed when the server has stopped.
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -272,3 +272,19 @@
 		t.Errorf("%d pauses logged, want 1", pauses())
 	}
 }
+
+// Guards against a panic when the server is stopped while it starts.
+func TestStopWhileStarting(t *testing.T) {
+	f := newFixture(t)
+	for range 2000 {
+		server, err := ingress.Listen(netip.MustParseAddrPort("127.0.0.1:0"), platform.PacketCodec{}, f.fixedViews, nil, 16)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := server.Stop(); err != nil {
+			t.Fatal(err)
+		}
+		server.Start()
+		<-server.Dead()
+	}
+}
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -21,6 +21,7 @@
 	"burdockrelay.example/burdockrelay/internal/discovery"
 	"burdockrelay.example/burdockrelay/internal/flowtrace"
 	"burdockrelay.example/burdockrelay/internal/ingress"
+	"burdockrelay.example/burdockrelay/internal/lifecycle"
 	"burdockrelay.example/burdockrelay/internal/objectstore"
 	"burdockrelay.example/burdockrelay/internal/prober"
 	"burdockrelay.example/burdockrelay/internal/settings"
@@ -93,6 +94,10 @@
 	if loaded.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(loaded.MemoryMB) * (1 << 20)))
 	}
+	listeners, err := listen(loaded, logger)
+	if err != nil {
+		return nil, err
+	}
 	i := &Instance{settings: loaded, logger: logger}
 	ctx := i.tomb.Context(context.Background())
 	i.cache = discovery.NewCache(loaded.Instance, loaded.DataCentre, loaded.FlowLifetime, applyDeadline(loaded), bootTime)
@@ -102,30 +107,33 @@
 	i.syncer = discovery.NewSyncer(loaded.Instance, applyDeadline(loaded), i.cache, peers, adapter.Source, metrics, logger)
 	checks := prober.New(ctx, adapter.Checker, i.cache, logger, registry)
 	observer := ingress.NewObserver(logger, registry, flowtrace.New(tracer, loaded.Trace.SampleRatio), checks.Probe)
-	var err error
 	i.packetServer, err = ingress.Listen(loaded.PacketListen, adapter.Codec, i.cache, observer, int(loaded.MaxFlows))
 	if err != nil {
+		listeners.close()
+		i.tomb.Kill(nil)
 		return nil, err
 	}
 	peerServer := &discovery.Server{
 		Cache: i.cache, Peers: peers, ReadsStore: i.syncer.ReadsStore, AddPeers: i.syncer.AddPeers, Metrics: metrics,
 	}
-	if err := i.listen(ctx, registry, peerServer); err != nil {
-		_ = i.Kill()
-		return nil, err
-	}
-	i.run(func() error { return i.syncer.Run(ctx) })
 	instanceRegistry := &discovery.Registry{
 		Store: adapter.Store, Self: self, Logger: logger, Now: i.cache.Now,
 		ReadsStore: i.syncer.ReadsStore, Peers: peers, OnPeers: i.syncer.AddPeers,
 	}
-	i.run(func() error { return instanceRegistry.Run(ctx) })
-	i.run(i.startPackets)
+	jobs := []func() error{
+		func() error { return peerServer.Serve(ctx, listeners.peer) },
+		func() error { return i.syncer.Run(ctx) },
+		func() error { return instanceRegistry.Run(ctx) },
+		i.startPackets,
+	}
+	jobs = append(jobs, i.serve(listeners.ready, http.HandlerFunc(i.ready))...)
+	if listeners.metrics != nil {
+		jobs = append(jobs, i.serve(listeners.metrics, telemetry.MetricsHandler(registry))...)
+	}
+	lifecycle.Go(&i.tomb, jobs...)
 	return i, nil
 }
 
-func (i *Instance) run(f func() error) { i.tomb.Go(f) }
-
 // seedAddresses returns the addresses at which the seeds serve peers. The peer port is
 // the same on all instances.
 func seedAddresses(loaded *settings.Relay) []netip.AddrPort {
@@ -136,43 +144,20 @@
 	return seeds
 }
 
-// listen opens the TCP listeners and starts serving them.
-func (i *Instance) listen(ctx context.Context, registry *prometheus.Registry, peerServer *discovery.Server) error {
-	ready, err := net.Listen("tcp", i.settings.ReadyListen.String())
-	if err != nil {
-		return fmt.Errorf("listen for readiness probes: %w", err)
-	}
-	i.serve(ready, http.HandlerFunc(i.ready))
-	peerListener, err := net.Listen("tcp", i.settings.PeerListen.String())
-	if err != nil {
-		return fmt.Errorf("listen for peers: %w", err)
-	}
-	i.run(func() error { return peerServer.Serve(ctx, peerListener) })
-	if !i.settings.MetricsListen.IsValid() {
-		return nil
-	}
-	metrics, err := net.Listen("tcp", i.settings.MetricsListen.String())
-	if err != nil {
-		// The instance serves callers even without metrics.
-		i.logger.Error("metrics_unavailable", zap.Stringer("address", i.settings.MetricsListen), zap.Error(err))
-		return nil
-	}
-	i.serve(metrics, telemetry.MetricsHandler(registry))
-	return nil
-}
-
-func (i *Instance) serve(listener net.Listener, handler http.Handler) {
+// serve returns the jobs that serve HTTP on a listener until the instance ends.
+func (i *Instance) serve(listener net.Listener, handler http.Handler) []func() error {
 	server := &http.Server{Handler: handler, ReadTimeout: httpTimeout}
-	i.run(func() error {
+	serve := func() error {
 		if err := server.Serve(listener); i.tomb.Alive() {
 			return fmt.Errorf("serve %s: %w", listener.Addr(), err)
 		}
 		return nil
-	})
-	i.run(func() error {
+	}
+	closeOnExit := func() error {
 		<-i.tomb.Dying()
 		return server.Close()
-	})
+	}
+	return []func() error{serve, closeOnExit}
 }
 
 // ready handles the routers' readiness probes. An instance with outdated configuration
--- a/internal/relayd/relayd_test.go
+++ b/internal/relayd/relayd_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -44,22 +45,31 @@
 
 // startInstance starts an instance with the given content of the settings file.
 func startInstance(t *testing.T, content string, logger *zap.Logger) *Instance {
+	t.Helper()
+	i, err := Start(loadSettings(t, content), newAdapter(t, content, logger), logger, prometheus.NewRegistry(), noop.NewTracerProvider().Tracer(""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = i.Kill() })
+	return i
+}
+
+func loadSettings(t *testing.T, content string) *settings.Relay {
 	t.Helper()
 	loaded, err := settings.Decode[settings.Relay]("test", []byte(content))
 	if err != nil {
 		t.Fatal(err)
 	}
-	store := platform.NewStore(loaded.Store, nil)
-	adapter := Adapter{
+	return loaded
+}
+
+func newAdapter(t *testing.T, content string, logger *zap.Logger) Adapter {
+	t.Helper()
+	store := platform.NewStore(loadSettings(t, content).Store, nil)
+	return Adapter{
 		Codec: platform.PacketCodec{}, Store: store, Source: &platform.Source{Store: store, Logger: logger},
 		Checker: platform.NewHealthChecker(),
 	}
-	i, err := Start(loaded, adapter, logger, prometheus.NewRegistry(), noop.NewTracerProvider().Tracer(""))
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = i.Kill() })
-	return i
 }
 
 func status(t *testing.T, address netip.AddrPort, path string) int {
@@ -87,11 +97,7 @@
 // Guards against an instance that does not start because its metrics port is in use.
 func TestMetricsPortInUse(t *testing.T) {
 	content := settingsText()
-	loaded, err := settings.Decode[settings.Relay]("test", []byte(content))
-	if err != nil {
-		t.Fatal(err)
-	}
-	listener, err := net.Listen("tcp", loaded.MetricsListen.String())
+	listener, err := net.Listen("tcp", loadSettings(t, content).MetricsListen.String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -103,6 +109,50 @@
 	}
 }
 
+// Guards against a start that hangs instead of reporting that a required port is in use,
+// and against ports that stay open after it.
+func TestRequiredPortInUse(t *testing.T) {
+	for _, port := range []string{"ready", "peer", "packet"} {
+		content := settingsText()
+		loaded := loadSettings(t, content)
+		occupied := occupy(t, loaded, port)
+		started := make(chan error, 1)
+		go func() {
+			_, err := Start(loaded, newAdapter(t, content, zap.NewNop()), zap.NewNop(), prometheus.NewRegistry(), noop.NewTracerProvider().Tracer(""))
+			started <- err
+		}()
+		select {
+		case err := <-started:
+			if err == nil {
+				t.Errorf("%s port in use: Start returned no error", port)
+			}
+		case <-time.After(time.Second):
+			t.Fatalf("%s port in use: Start did not return within 1 s", port)
+		}
+		_ = occupied.Close()
+		startInstance(t, content, zap.NewNop())
+	}
+}
+
+// occupy opens one of the ports that an instance with the settings needs.
+func occupy(t *testing.T, loaded *settings.Relay, port string) io.Closer {
+	t.Helper()
+	var occupied io.Closer
+	var err error
+	switch port {
+	case "ready":
+		occupied, err = net.Listen("tcp", loaded.ReadyListen.String())
+	case "peer":
+		occupied, err = net.Listen("tcp", loaded.PeerListen.String())
+	default:
+		occupied, err = net.ListenPacket("udp", loaded.PacketListen.String())
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return occupied
+}
+
 // Guards against a stop that waits for readiness probes beyond its deadline.
 func TestStopEndsByItsDeadline(t *testing.T) {
 	i := startInstance(t, settingsText(), zap.NewNop())
