Mend the faults that readers of the code suspected

- A release whose removal failed stayed on the platform: only one publication tried it.
- Reports and acknowledgements of former endpoints and instances stayed in memory.
- Of more than 64 suspect endpoints, the others were never checked.
They wait now.
- A reload did not change the timeout of peer queries and the detection of outages.
- Packets with an unknown result code were counted as OK; they have code 1025.
- A refusal applied again when the time stored with it repeated after 18.2 h.
- Codes 2211, 5002 and 5004 were used nowhere.

Ruled out: dropUnneededTargets may drop a pending withdrawal, but a former successor expires the flow by its idle timeout, because it no longer is the successor, and discards it when it becomes the successor again (slotResets). A first packet on the five-tuple goes to the same endpoint, as specified. By reading the code; no test.

--- a/internal/controller/acknowledgement.go
+++ b/internal/controller/acknowledgement.go
@@ -57,7 +57,9 @@
 	version       string
 	written       ackReportSpec
 	lastAttemptAt time.Duration
-	exists        bool
+	// mayExist is false once the report is known to be absent. It is true at the
+	// start, because an earlier process may have left a report.
+	mayExist bool
 }
 
 func (r *ackReportController) run(ctx context.Context) error {
@@ -65,7 +67,7 @@
 		sleep(ctx, ackReportSpacing)
 		if r.isWatcher() {
 			r.writeIfDue(ctx)
-		} else if r.exists {
+		} else if r.mayExist {
 			r.remove(ctx)
 		}
 	}
@@ -88,7 +90,7 @@
 		r.version = ""
 		return
 	}
-	r.exists = true
+	r.mayExist = true
 	r.written = report
 }
 
@@ -124,11 +126,13 @@
 
 // remove deletes the report of an instance that is no longer a watcher.
 func (r *ackReportController) remove(ctx context.Context) {
-	if err := r.platform.Delete(ctx, platform.Acknowledgements, r.settings.Instance); err == nil {
-		r.exists = false
-		r.version = ""
-		r.written = ackReportSpec{}
+	err := r.platform.Delete(ctx, platform.Acknowledgements, r.settings.Instance)
+	if code, _ := resultcode.Of(err); err != nil && code != resultcode.PlatformNotFound {
+		return
 	}
+	r.mayExist = false
+	r.version = ""
+	r.written = ackReportSpec{}
 }
 
 func (r *ackReportController) report() ackReportSpec {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -113,7 +113,7 @@
 	controller.publication = newPublicationController(c)
 	controller.health = newHealthController(c)
 	controller.entry = &entryController{core: c, epoch: uint64(time.Now().UnixNano())}
-	controller.ackReport = &ackReportController{core: c}
+	controller.ackReport = &ackReportController{core: c, mayExist: true}
 	controller.group = newGroupReleaseController(c)
 	controller.status = &statusController{c}
 	return controller
--- a/internal/controller/entry.go
+++ b/internal/controller/entry.go
@@ -80,6 +80,7 @@
 		Incarnation: self.Incarnation,
 	})
 	if err != nil {
+		e.metrics.leaseFailures.Inc()
 		e.callFailed("renew_lease", err)
 		return
 	}
@@ -124,7 +125,6 @@
 
 // callFailed records a failed call to entryd.
 func (e *entryController) callFailed(call string, err error) {
-	e.metrics.leaseFailures.Inc()
 	e.inputFailed(inputEntry, err)
 	if e.reachable {
 		e.logger.Warn("entryd_unreachable", zap.String("call", call), zap.Error(err))
--- a/internal/controller/gossip.go
+++ b/internal/controller/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/bits"
 	"slices"
 
@@ -73,6 +74,17 @@
 	g.pendingReports[key] = &gossipItem{urgent: urgent}
 }
 
+// prune removes reports that have expired and are no longer sent.
+func (g *gossipQueue) prune(nowMS int64) {
+	for key, reportedMS := range g.reportTimesMS {
+		if nowMS-reportedMS < health.ReportLifetime.Milliseconds() || g.pendingReports[key] != nil {
+			continue
+		}
+		delete(g.reports, key)
+		delete(g.reportTimesMS, key)
+	}
+}
+
 func (g *gossipQueue) addDrain(endpoint common.EndpointID) {
 	g.pendingDrains[endpoint] = &gossipItem{urgent: true}
 }
@@ -262,6 +274,19 @@
 	}
 }
 
+// pruneAcks removes the acknowledgements of instances that are neither members nor on
+// the instance list. The caller holds mu.
+func (c *core) pruneAcks() {
+	known := map[common.InstanceID]bool{}
+	for _, info := range c.instances {
+		known[info.id] = true
+	}
+	for _, member := range c.machine.Members() {
+		known[member.ID] = true
+	}
+	maps.DeleteFunc(c.acks, func(id common.InstanceID, _ release.Ack) bool { return !known[id] })
+}
+
 // maxReportAge bounds the age in a peer's report. A higher age could place the
 // report before the start of this process.
 const maxReportAge = health.ReportLifetime
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -252,6 +252,8 @@
 	m.machine.SetCandidates(version, candidates, m.now())
 	m.instances = all
 	m.instancesLoaded = true
+	m.pruneAcks()
+	m.gossipQueue.prune(m.now().Milliseconds())
 }
 
 func (m *membershipController) decodeInstance(object *platform.Object) (instanceInfo, membership.Candidate, bool) {
--- a/internal/controller/publication.go
+++ b/internal/controller/publication.go
@@ -27,6 +27,9 @@
 	// maxStoredReleases is the number of accepted releases that the platform keeps
 	// for the history.
 	maxStoredReleases = 20
+	// expiredReleaseAttempts is the number of publications that try to remove a
+	// release from the platform after it has left the history.
+	expiredReleaseAttempts = 5
 	// cleanupTimeout bounds the removal of a release when a publication ends.
 	cleanupTimeout = 10 * time.Second
 	// writeRetryInterval is the mean time before a failed step is retried.
@@ -277,19 +280,28 @@
 }
 
 // handleAccepted records the accepted release without waiting for the watch and
-// removes the release that exceeds the history.
+// removes the releases that exceed the history.
 func (p *activePublication) handleAccepted(ref release.Ref) {
 	p.mu.Lock()
 	p.observeAccepted(ref)
 	p.mu.Unlock()
-	if ref.Number <= maxStoredReleases {
-		return
-	}
+	p.removeExpiredReleases(ref.Number)
+}
+
+// removeExpiredReleases removes the releases that left the history with the last
+// publications. Those of earlier publications may have failed to be removed.
+func (p *activePublication) removeExpiredReleases(accepted uint64) {
 	ctx, cancel := context.WithTimeout(context.Background(), cleanupTimeout)
 	defer cancel()
-	expired := strconv.FormatUint(ref.Number-maxStoredReleases, 10)
-	if err := p.platform.Delete(ctx, platform.Releases, expired); err != nil {
-		p.logger.Info("old_release_not_removed", zap.String("release", expired), zap.Error(err))
+	for back := range uint64(expiredReleaseAttempts) {
+		if accepted <= maxStoredReleases+back {
+			return
+		}
+		expired := strconv.FormatUint(accepted-maxStoredReleases-back, 10)
+		err := p.platform.Delete(ctx, platform.Releases, expired)
+		if code, _ := resultcode.Of(err); err != nil && code != resultcode.PlatformNotFound {
+			p.logger.Info("old_release_not_removed", zap.String("release", expired), zap.Error(err))
+		}
 	}
 }
 
--- a/internal/decision/flow/expire.go
+++ b/internal/decision/flow/expire.go
@@ -24,6 +24,7 @@
 		if s.expireCursor >= len(s.table.entries) {
 			s.expireCursor = 0
 			s.expireSlotBases(now)
+			s.expireRefusals(now)
 		}
 		e := &s.table.entries[s.expireCursor]
 		s.expireCursor++
@@ -33,6 +34,7 @@
 	}
 	if len(s.table.entries) == 0 {
 		s.expireSlotBases(now)
+		s.expireRefusals(now)
 	}
 	return removed
 }
--- a/internal/decision/flow/handle_test.go
+++ b/internal/decision/flow/handle_test.go
@@ -188,3 +188,22 @@
 		}
 	}
 }
+
+// Guards against a first packet that is refused because its five-tuple and sequence number
+// were refused 18 hours earlier, when the time stored with the refusal repeats.
+func TestRefusalDoesNotRepeat(t *testing.T) {
+	tables := mustTables(t, testSnapshot(4, 1), nil)
+	packets := benchPackets(tables, 2)
+	shard := NewShard(0, Limits{MaxFlows: 1})
+	shard.Install(tables, 0)
+	shard.Handle(tables, packets[0], 0, true)
+	shard.Handle(tables, packets[1], 0, true)
+	packets[0].First, packets[0].Reset = false, true
+	shard.Handle(tables, packets[0], 0, true)
+	for now := time.Duration(0); now < secondsPeriod*time.Second; now += time.Hour {
+		shard.Expire(now, 10)
+	}
+	if again := shard.Handle(tables, packets[1], secondsPeriod*time.Second, true); again.Kind != Forward {
+		t.Errorf("first packet after %v: %+v", secondsPeriod*time.Second, again)
+	}
+}
--- a/internal/decision/flow/refusal.go
+++ b/internal/decision/flow/refusal.go
@@ -23,9 +23,29 @@
 	second uint16
 }
 
-// secondOf returns the time in whole seconds, modulo 65,535, plus 1.
+// secondsPeriod is the period in seconds after which secondOf repeats, 18.2 hours.
+const secondsPeriod = 1<<16 - 1
+
+// secondOf returns the time in whole seconds, modulo secondsPeriod, plus 1.
 func secondOf(now time.Duration) uint16 {
-	return uint16(now/time.Second%(1<<16-1)) + 1
+	return uint16(now/time.Second%secondsPeriod) + 1
+}
+
+// expired reports whether the refusal is older than the maximum segment lifetime. It must
+// be called at least once in every secondsPeriod for each entry.
+func (r *refusal) expired(now time.Duration) bool {
+	age := (int(secondOf(now)) - int(r.second) + secondsPeriod) % secondsPeriod
+	return time.Duration(age)*time.Second > maxSegmentLifetime
+}
+
+// expireRefusals removes expired refusals. Without it a refusal would apply again when the
+// time stored in it repeats.
+func (s *Shard) expireRefusals(now time.Duration) {
+	for i := range s.refusals {
+		if r := &s.refusals[i]; r.second != 0 && r.expired(now) {
+			*r = refusal{}
+		}
+	}
 }
 
 // refusedBefore returns the code with which the same first packet was refused
@@ -35,7 +55,7 @@
 	if r.second == 0 || r.hash != p.Hash || r.sequence != p.Sequence || s.limits.ablation.noRefusalCache {
 		return resultcode.OK
 	}
-	if age := secondOf(now) - r.second; time.Duration(age)*time.Second > maxSegmentLifetime {
+	if r.expired(now) {
 		return resultcode.OK
 	}
 	return resultcode.Code(r.code)
--- a/internal/discovery/cache.go
+++ b/internal/discovery/cache.go
@@ -35,13 +35,13 @@
 	// flowLifetime is how long the record of an endpoint that is no longer listed is
 	// kept for flows whose label refers to it.
 	flowLifetime time.Duration
+
+	mu sync.Mutex
 	// outageAge is the age of the cached state above which the next confirmation by the
 	// store counts as its recovery from an outage.
 	outageAge time.Duration
-
-	mu      sync.Mutex
-	catalog *directory.Catalog
-	pools   map[string]*selection.Pool
+	catalog   *directory.Catalog
+	pools     map[string]*selection.Pool
 	// instanceCount is the number of instances that share the endpoints.
 	instanceCount int
 	// states is the last state of each endpoint, by name.
@@ -79,6 +79,13 @@
 	return c
 }
 
+// setApplyDeadline sets the maximum time between a change in the store and its effect.
+func (c *Cache) setApplyDeadline(applyDeadline time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outageAge = freshness.SettingsFor(applyDeadline).OutageAge
+}
+
 // Now returns the current time of the clock.
 func (c *Cache) Now() time.Duration { return c.clock() }
 
--- a/internal/discovery/syncer.go
+++ b/internal/discovery/syncer.go
@@ -54,7 +54,7 @@
 	cache     *Cache
 	peers     *Peers
 	source    Source
-	client    *peerClient
+	client    atomic.Pointer[peerClient]
 	metrics   *Metrics
 	logger    *zap.Logger
 
@@ -79,12 +79,14 @@
 // NewSyncer returns a syncer that reads the source and queries peers, so that a change
 // in the store reaches the cache within applyDeadline.
 func NewSyncer(self string, applyDeadline time.Duration, cache *Cache, peers *Peers, source Source, metrics *Metrics, logger *zap.Logger) *Syncer {
-	return &Syncer{
+	s := &Syncer{
 		scheduler: freshness.NewScheduler(self, freshness.SettingsFor(applyDeadline)),
-		cache:     cache, peers: peers, source: source, client: newPeerClient(applyDeadline / peerTimeoutDivisor),
+		cache:     cache, peers: peers, source: source,
 		metrics: metrics, logger: logger,
 		events: make(chan func(), 64), storeUp: true, seedsQueriedAt: -seedInterval,
 	}
+	s.client.Store(newPeerClient(applyDeadline / peerTimeoutDivisor))
+	return s
 }
 
 // Run keeps the cache up to date until the context ends.
@@ -166,7 +168,7 @@
 		EndpointsRevision: at, PeersHash: s.peers.Hash(),
 	}
 	queried := s.cache.Now()
-	response, err := s.client.fetch(ctx, address, request)
+	response, err := s.client.Load().fetch(ctx, address, request)
 	s.post(ctx, func() { s.handleResponse(name, response, err, queried) })
 }
 
@@ -288,7 +290,11 @@
 
 // SetApplyDeadline sets the maximum time between a change in the store and its effect.
 func (s *Syncer) SetApplyDeadline(ctx context.Context, applyDeadline time.Duration) {
-	s.post(ctx, func() { s.scheduler.SetSettings(freshness.SettingsFor(applyDeadline)) })
+	s.post(ctx, func() {
+		s.scheduler.SetSettings(freshness.SettingsFor(applyDeadline))
+		s.cache.setApplyDeadline(applyDeadline)
+		s.client.Swap(newPeerClient(applyDeadline / peerTimeoutDivisor)).http.CloseIdleConnections()
+	})
 }
 
 // querySeeds queries the seeds at intervals while no peer is known, and returns the
--- a/internal/entry/filters_test.go
+++ b/internal/entry/filters_test.go
@@ -68,3 +68,14 @@
 	check(after, 11, 442, common.ProtocolTCP, 1)
 	check(after, 10, 443, common.ProtocolUDP, noService)
 }
+
+// Guards against packets with an unknown result code that are counted as successful.
+func TestUnknownCodesAreNotCountedAsOK(t *testing.T) {
+	worker := &counters{}
+	worker.codes.add(resultcode.ConfigSyntax)
+	sum := newTotals()
+	sum.add(worker)
+	if sum.results[resultcode.OK] != 0 || sum.results[resultcode.PacketUnknownResult] != 1 {
+		t.Errorf("results %v", sum.results)
+	}
+}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -21,7 +21,7 @@
 type codeCounters struct {
 	counts [codeRange]atomic.Uint64
 	// other counts codes outside the range; no packet should have one. It is
-	// exported as code 0.
+	// exported as PacketUnknownResult.
 	other atomic.Uint64
 }
 
@@ -206,7 +206,7 @@
 		}
 	}
 	if count := worker.codes.other.Load(); count > 0 {
-		t.results[resultcode.OK] += count
+		t.results[resultcode.PacketUnknownResult] += count
 	}
 	t.receivedPackets += worker.receivedPackets.Load()
 	t.receivedBytes += worker.receivedBytes.Load()
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,7 +55,10 @@
 
 	mu     sync.Mutex
 	probed map[*selection.Member]bool
-	ctx    context.Context
+	// waiting holds the suspect endpoints to be checked once fewer than maxProbed are
+	// being checked, oldest first.
+	waiting []*selection.Member
+	ctx     context.Context
 }
 
 // New returns a prober whose checks end with the context, and registers its metrics.
@@ -71,24 +75,42 @@
 	return p
 }
 
-// Probe starts checking a suspect endpoint unless it is being checked already or
-// maxProbed endpoints are. It does not block.
+// Probe starts checking a suspect endpoint unless it is being checked already. If
+// maxProbed endpoints are being checked, it waits for one of them to finish. Probe does
+// not block.
 func (p *Prober) Probe(m *selection.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.probed[m] || len(p.probed) >= maxProbed {
-		return
+	switch {
+	case p.probed[m] || slices.Contains(p.waiting, m):
+	case len(p.probed) >= maxProbed:
+		p.waiting = append(p.waiting, m)
+	default:
+		p.start(m)
 	}
+}
+
+// start starts checking an endpoint. The caller holds mu.
+func (p *Prober) start(m *selection.Member) {
 	p.probed[m] = true
 	go p.run(m)
 }
 
+// finish ends the checks of an endpoint and starts those of the next one that waits.
+func (p *Prober) finish(m *selection.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.probed, m)
+	if len(p.waiting) == 0 {
+		return
+	}
+	next := p.waiting[0]
+	p.waiting = p.waiting[1:]
+	p.start(next)
+}
+
 func (p *Prober) run(m *selection.Member) {
-	defer func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		delete(p.probed, m)
-	}()
+	defer p.finish(m)
 	status := m.Status(p.directory.Now())
 	p.logger.Info("endpoint_suspect", zap.String("endpoint", status.Endpoint.Name),
 		zap.String("service", status.Endpoint.Service), zap.String("data_centre", status.Endpoint.DataCentre))
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -109,3 +111,28 @@
 		t.Errorf("%d checks before probation, want checksBeforeProbation", n)
 	}
 }
+
+// Guards against endpoints that are never checked because maxProbed others became suspect
+// before them.
+func TestSuspectsAboveTheLimitAreCheckedLater(t *testing.T) {
+	c := &checker{passesFrom: 1}
+	d := testDirectory{time.Now()}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	p := New(ctx, c, d, zap.NewNop(), prometheus.NewRegistry())
+	endpoints := make([]directory.Endpoint, 3*maxProbed)
+	for i := range endpoints {
+		endpoints[i] = directory.Endpoint{Name: fmt.Sprintf("i-%d", i), ID: uint64(i + 1), Slots: 2}
+	}
+	members := selection.NewPool("desk", "entry-1", "fukuoka").Update(endpoints, 0)
+	now := d.Now()
+	for _, m := range members {
+		m.FirstPacketRetransmitted(now, now-time.Second)
+		p.Probe(m)
+	}
+	waitFor(t, 5*time.Second, "probation of all", func() bool {
+		return !slices.ContainsFunc(members, func(m *selection.Member) bool {
+			return m.Status(d.Now()).Condition != selection.Probation
+		})
+	})
+}
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -27,6 +27,7 @@
 	PacketSendFailed      Code = 1022
 	PacketForeignEndpoint Code = 1023
 	PacketReceiveFailed   Code = 1024
+	PacketUnknownResult   Code = 1025
 )
 
 // Routing, ownership and fencing: 1100-1199.
@@ -96,7 +97,6 @@
 	PublishTooLarge     Code = 2204
 	PublishUnchanged    Code = 2205
 	ReleaseHashMismatch Code = 2210
-	ReleaseNotFound     Code = 2211
 )
 
 // Settings: 3000-3099.
@@ -127,11 +127,9 @@
 
 // Membership and peers: 5000-5099.
 const (
-	PeerUnreachable  Code = 5000
-	PeerBadDatagram  Code = 5001
-	PeerWrongGroup   Code = 5002
-	PeerNoRelease    Code = 5003
-	PeerNameConflict Code = 5004
+	PeerUnreachable Code = 5000
+	PeerBadDatagram Code = 5001
+	PeerNoRelease   Code = 5003
 )
 
 // Administration API: 6000-6099.
