Keep a release that was written after a watch requested its list

Cause of the red run of TestReleasesSpreadAsDeltas ("loaded 2 bodies for the first release"), by reading: a watch that starts again lists the releases; the release is written after the list was made, becomes known through a datagram and is loaded; then the list, which lacks it, is handled and withdraws it. The event of the watch loads it a second time, and the instance no longer announces it.

Change: only a release that was known before the list was requested is withdrawn.

--- a/internal/controller/cleanup_test.go
+++ b/internal/controller/cleanup_test.go
@@ -116,3 +116,22 @@
 		t.Errorf("acknowledgements after pruning: %v, want the one of the listed instance", core.acks)
 	}
 }
+
+// Guards against the withdrawal of a release that was written after a watch had requested
+// its list: the instance would load the release a second time and no longer announce it.
+func TestListDoesNotWithdrawNewerRelease(t *testing.T) {
+	ref := release.Ref{Number: 1, Hash: "0123456789abcdef0123456789abcdef"}
+	for _, test := range []struct {
+		name        string
+		requestedAt time.Duration
+		kept        bool
+	}{{"list requested before the release was known", -time.Second, true}, {"list requested after it", time.Second, false}} {
+		c := &core{start: time.Now(), fetchSignal: make(chan struct{}, 1), loaded: map[uint64]*loadedRelease{1: {ref: ref}}}
+		handler := &releaseHandler{&configurationController{core: c}}
+		c.observePrepared(ref)
+		handler.Replace(&platform.List{RequestedAt: c.start.Add(test.requestedAt)})
+		if kept := c.loaded[1] != nil && c.tracker.Prepared() == ref; kept != test.kept {
+			t.Errorf("%s: release kept is %t, want %t", test.name, kept, test.kept)
+		}
+	}
+}
--- a/internal/controller/configuration_watch.go
+++ b/internal/controller/configuration_watch.go
@@ -120,18 +120,20 @@
 // releaseHandler implements platform.Handler for the collection releases.
 type releaseHandler struct{ *configurationController }
 
-// Replace implements platform.Handler. It withdraws the prepared release if the
-// list does not contain it.
+// Replace implements platform.Handler. It withdraws the prepared release if the list
+// does not contain it. A release that became known after the list was requested may be
+// newer than the list.
 func (h *releaseHandler) Replace(list *platform.List) {
 	h.mu.Lock()
 	prepared := h.tracker.Prepared()
+	newer := !h.start.Add(h.preparedSince).Before(list.RequestedAt)
 	h.mu.Unlock()
 	found := false
 	for i := range list.Items {
 		spec, ok := h.observeRelease(&list.Items[i])
 		found = found || (ok && spec.ref().Matches(prepared))
 	}
-	if !found && prepared.Number > 0 {
+	if !found && !newer && prepared.Number > 0 {
 		h.withdraw(prepared)
 	}
 }
--- a/internal/platform/object.go
+++ b/internal/platform/object.go
@@ -2,7 +2,10 @@
 // docs/design.md section 5.2).
 package platform
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"time"
+)
 
 // Collections of the object API.
 const (
@@ -38,6 +41,9 @@
 type List struct {
 	Metadata Metadata `json:"metadata"`
 	Items    []Object `json:"items"`
+	// RequestedAt is when a watch requested the list. The list may lack objects that
+	// were created since.
+	RequestedAt time.Time `json:"-"`
 }
 
 // Failure is the body of an unsuccessful response and of an error event.
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -46,10 +46,12 @@
 // returns the version at which to resume.
 func (c *Client) listAndWatch(ctx context.Context, collection, version string, handler Handler) (string, error) {
 	if version == "" {
+		requestedAt := time.Now()
 		list, err := call[List](ctx, c, http.MethodGet, "list", collection, "", nil)
 		if err != nil {
 			return "", err
 		}
+		list.RequestedAt = requestedAt
 		handler.Replace(list)
 		version = list.Metadata.ResourceVersion
 	}
