Admit new flows by the responses to opening requests only

Cause: the limiter of a service counted the responses to all requests. When half of the endpoints become slow, requests on flows that were open before stay there and are answered late, and the limiter refused new flows that the other half would have served.

Change: only opening requests count, in flight and as evidence; the minimum of the limit is taken from the slots that later requests leave free; one priority level adds a half of the limit instead of a quarter.

--- a/internal/decision/admission/admission.go
+++ b/internal/decision/admission/admission.go
@@ -5,8 +5,11 @@
 // measures the share of responses that miss their latency target. It decreases the limit while
 // that share is high, and increases it while the share is low and the limit is in use. The
 // number of requests in flight thus converges to what the service can answer in time.
-// Requests above the limit are refused before they reach an endpoint. The package reads no
-// clock.
+// Requests above the limit are refused before they reach an endpoint.
+//
+// The limiter counts only requests that open a flow. Later requests on a flow cannot be
+// refused, and they stay on their endpoint when it becomes slow: their late responses say
+// nothing about the endpoints that new flows get. The package reads no clock.
 package admission
 
 import "time"
@@ -28,8 +31,8 @@
 	// minUsedShare is the part of the limit that must have been used before the limit
 	// is increased.
 	minUsedShare = 0.8
-	// minPerSlot is the minimum limit in requests per slot. It keeps the slots busy of
-	// a service that is itself slower than the latency target.
+	// minPerSlot is the minimum limit in requests per slot that no later request uses. It
+	// keeps the slots busy of a service that is itself slower than the latency target.
 	minPerSlot = 1.5
 	// limitExpiry is the time without a decrease after which the limit is removed.
 	limitExpiry = 3 * time.Second
@@ -38,9 +41,10 @@
 	// response could arrive to increase the limit again.
 	noResponseTimeout = 400 * time.Millisecond
 	// priorityShare is the part of the limit that is added for each priority level
-	// above the lowest, up to maxPriorityShare.
-	priorityShare    = 0.25
-	maxPriorityShare = 0.5
+	// above the lowest, up to maxPriorityShare. Most requests in flight may be on flows
+	// that cannot be refused, so an urgent request needs much more room than others.
+	priorityShare    = 0.5
+	maxPriorityShare = 1.0
 )
 
 // Limiter limits the requests in flight. The zero value has no limit. It is not safe for
@@ -60,10 +64,10 @@
 // Limit returns the current limit, 0 if there is none.
 func (l *Limiter) Limit() float64 { return l.limit }
 
-// Admit reports whether another request may begin. inFlight is the number of this
-// instance's requests without a response and slots the instance's share of the endpoints'
-// slots. level is the number of priority levels by which the request is above the lowest
-// priority of the service.
+// Admit reports whether another flow may be opened. inFlight is the number of this
+// instance's requests that opened their flow and have no response, and slots the instance's
+// share of the endpoints' slots less those that later requests use. level is the number of
+// priority levels by which the request is above the lowest priority of the service.
 func (l *Limiter) Admit(now time.Duration, inFlight int, slots float64, level int) bool {
 	if now-l.lastResponseAt >= noResponseTimeout {
 		l.limit = 0
@@ -76,8 +80,8 @@
 	return float64(inFlight) < max(l.limit, slots*minPerSlot)*(1+share)
 }
 
-// ResponseStarted records the start of a response, a time of took after its request. target
-// is the latency target. If it is 0, the response is ignored.
+// ResponseStarted records the start of the first response on a flow, a time of took after its
+// request. target is the latency target. If it is 0, the response is ignored.
 func (l *Limiter) ResponseStarted(now, took, target time.Duration) {
 	if target <= 0 {
 		return
--- a/internal/decision/selection/member.go
+++ b/internal/decision/selection/member.go
@@ -56,8 +56,9 @@
 	// warmUntil is the end of the endpoint's warm-up time.
 	warmUntil time.Duration
 
-	// inFlight counts this instance's requests without a response.
-	inFlight int
+	// inFlight counts this instance's requests without a response, opening those among
+	// them that opened their flow.
+	inFlight, opening int
 	// lastChosen is the pool's choice counter at the last choice of this member. It
 	// orders members of equal cost, least recently chosen first. tieBreak orders those
 	// never chosen. It differs between instances, so that instances that start together
--- a/internal/decision/selection/outcome.go
+++ b/internal/decision/selection/outcome.go
@@ -5,21 +5,50 @@
 	"time"
 )
 
-// RequestStarted records a further request on an open flow.
-func (m *Member) RequestStarted() {
+// RequestKind distinguishes the request that opened a flow from the later ones on it.
+type RequestKind uint8
+
+// The kinds of requests. Only an opening request can be refused or sent to another
+// endpoint, so only opening requests count for admission.
+const (
+	OpeningRequest RequestKind = iota
+	LaterRequest
+)
+
+// RequestStarted records a request on a flow that Choose did not count for this endpoint: a
+// later one, or an opening one that another endpoint answered.
+func (m *Member) RequestStarted(kind RequestKind) {
 	m.pool.mu.Lock()
 	defer m.pool.mu.Unlock()
+	m.begin(kind)
+}
+
+// begin counts a request in flight. The caller holds the pool's lock.
+func (m *Member) begin(kind RequestKind) {
 	m.inFlight++
+	if kind == OpeningRequest {
+		m.opening++
+	}
+}
+
+// end no longer counts a request in flight. The caller holds the pool's lock.
+func (m *Member) end(kind RequestKind) {
+	m.inFlight = max(m.inFlight-1, 0)
+	if kind == OpeningRequest {
+		m.opening = max(m.opening-1, 0)
+	}
 }
 
 // ResponseStarted records the start of a response, a time of took after its request.
 // target is the target response time, 0 if there is none.
-func (m *Member) ResponseStarted(now, took, target time.Duration) {
+func (m *Member) ResponseStarted(now time.Duration, kind RequestKind, took, target time.Duration) {
 	p := m.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	m.inFlight = max(m.inFlight-1, 0)
-	p.limiter.ResponseStarted(now, took, target)
+	m.end(kind)
+	if kind == OpeningRequest {
+		p.limiter.ResponseStarted(now, took, target)
+	}
 	m.addResponse(now, float64(took), p.medianResponse)
 	m.addOutcome(now, false)
 	m.markAlive(now)
@@ -43,19 +72,19 @@
 }
 
 // RequestFailed records that a request in flight ended without a response.
-func (m *Member) RequestFailed(now time.Duration) {
+func (m *Member) RequestFailed(now time.Duration, kind RequestKind) {
 	m.pool.mu.Lock()
 	defer m.pool.mu.Unlock()
-	m.inFlight = max(m.inFlight-1, 0)
+	m.end(kind)
 	m.addOutcome(now, true)
 }
 
 // RequestDiscarded ends a request in flight without recording an outcome, for example
 // because it moved to another endpoint.
-func (m *Member) RequestDiscarded() {
+func (m *Member) RequestDiscarded(kind RequestKind) {
 	m.pool.mu.Lock()
 	defer m.pool.mu.Unlock()
-	m.inFlight = max(m.inFlight-1, 0)
+	m.end(kind)
 }
 
 // HandshakeCompleted records that a caller has acknowledged the endpoint. took is the time
--- a/internal/decision/selection/selection.go
+++ b/internal/decision/selection/selection.go
@@ -193,15 +193,17 @@
 func (p *Pool) Admit(now time.Duration, level int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	inFlight, slots := 0, 0.0
+	opening, later, slots := 0, 0, 0.0
 	for _, m := range p.members {
 		// Requests on a suspect endpoint may be lost and then occupy no slot of the others.
 		if !m.endpoint.Draining && m.condition != Suspect {
-			inFlight += m.inFlight
+			opening += m.opening
+			later += m.inFlight - m.opening
 			slots += float64(m.endpoint.Slots)
 		}
 	}
-	return p.limiter.Admit(now, inFlight, slots/float64(p.instances), level)
+	free := max(slots/float64(p.instances)-float64(later), 0)
+	return p.limiter.Admit(now, opening, free, level)
 }
 
 // ResetAfterPause discards the pending handshakes and the limit after a pause of the
@@ -268,7 +270,7 @@
 	}
 	p.choices++
 	best.lastChosen = p.choices
-	best.inFlight++
+	best.begin(OpeningRequest)
 	return best
 }
 
--- a/internal/decision/steering/steering.go
+++ b/internal/decision/steering/steering.go
@@ -288,7 +288,7 @@
 		return
 	}
 	if f.inFlight {
-		f.member.RequestDiscarded()
+		f.member.RequestDiscarded(f.kind)
 	}
 	f.member, f.label = to, v.ownLabels[to]
 	f.inFlight = true
--- a/internal/decision/steering/table.go
+++ b/internal/decision/steering/table.go
@@ -47,8 +47,10 @@
 	// finished is set once the caller has closed or reset the flow.
 	finished bool
 	// inFlight is set while a request has no response. After timeout without a packet
-	// the request no longer counts. latencyTarget is the target response time.
+	// the request no longer counts. latencyTarget is the target response time. kind is
+	// the kind of the current or last request.
 	inFlight               bool
+	kind                   selection.RequestKind
 	timeout, latencyTarget time.Duration
 	// lastAck is the caller's highest acknowledgement number, sentEnd the sequence
 	// number after the caller's last byte.
@@ -112,8 +114,8 @@
 func (f *flow) establish(p *Packet, named *selection.Member, now time.Duration) {
 	if named != f.member {
 		if f.inFlight {
-			f.member.RequestDiscarded()
-			named.RequestStarted()
+			f.member.RequestDiscarded(f.kind)
+			named.RequestStarted(f.kind)
 		}
 		f.member, f.label = named, p.Label
 	}
@@ -138,7 +140,7 @@
 		if f.inFlight {
 			f.inFlight = false
 			response = now - f.requestedAt
-			f.member.ResponseStarted(now, response, f.latencyTarget)
+			f.member.ResponseStarted(now, f.kind, response, f.latencyTarget)
 		}
 	}
 	end := p.Sequence + uint32(p.Length)
@@ -148,8 +150,9 @@
 	f.sentEnd = end
 	if !f.inFlight {
 		f.inFlight = true
+		f.kind = selection.LaterRequest
 		f.requestedAt = now
-		f.member.RequestStarted()
+		f.member.RequestStarted(f.kind)
 	}
 	return response
 }
@@ -162,7 +165,7 @@
 		return false
 	}
 	f.inFlight = false
-	f.member.RequestFailed(now)
+	f.member.RequestFailed(now, f.kind)
 	return true
 }
 
@@ -173,7 +176,7 @@
 func (f *flow) discardRequest() {
 	if f.established {
 		f.inFlight = false
-		f.member.RequestDiscarded()
+		f.member.RequestDiscarded(f.kind)
 	}
 }
 
@@ -204,7 +207,7 @@
 		for _, f := range s.flows {
 			if f.inFlight {
 				f.inFlight = false
-				f.member.RequestDiscarded()
+				f.member.RequestDiscarded(f.kind)
 			}
 			f.firstPacketAt = now
 		}
