Count stalled and timed-out requests against an endpoint

Cause: an endpoint that resets flows after the handshake does so to the caller directly, who then sends nothing. The instance saw a request without a response, which ended without any effect after the request timeout, so the endpoint seemed idle and got the next flow.

Change: a request that times out on an established flow counts as failed, and while requests in flight get no response at all, the response time used for the choice is at least the time since the last one. TestResetsAttractNoFlows, TestStalledEndpointGetsLess and the added check in TestRequestsInFlightEndAtTimeout guard it.

--- a/internal/decision/selection/member.go
+++ b/internal/decision/selection/member.go
@@ -59,6 +59,9 @@
 	// inFlight counts this instance's requests without a response, opening those among
 	// them that opened their flow.
 	inFlight, opening int
+	// progressAt is when the last response started, or when the first of the requests in
+	// flight was sent.
+	progressAt time.Duration
 	// lastChosen is the pool's choice counter at the last choice of this member. It
 	// orders members of equal cost, least recently chosen first. tieBreak orders those
 	// never chosen. It differs between instances, so that instances that start together
@@ -145,6 +148,14 @@
 	return median + (m.meanResponse-median)*decay(m.responseAt, now, responseHalfLife)
 }
 
+// stalledFor returns how long requests have been in flight without any response.
+func (m *Member) stalledFor(now time.Duration) time.Duration {
+	if m.inFlight == 0 {
+		return 0
+	}
+	return now - m.progressAt
+}
+
 func (m *Member) failureRate(now time.Duration) float64 {
 	return m.failures * decay(m.failuresAt, now, failureHalfLife)
 }
--- a/internal/decision/selection/outcome.go
+++ b/internal/decision/selection/outcome.go
@@ -17,14 +17,17 @@
 
 // RequestStarted records a request on a flow that Choose did not count for this endpoint: a
 // later one, or an opening one that another endpoint answered.
-func (m *Member) RequestStarted(kind RequestKind) {
+func (m *Member) RequestStarted(now time.Duration, kind RequestKind) {
 	m.pool.mu.Lock()
 	defer m.pool.mu.Unlock()
-	m.begin(kind)
+	m.begin(now, kind)
 }
 
 // begin counts a request in flight. The caller holds the pool's lock.
-func (m *Member) begin(kind RequestKind) {
+func (m *Member) begin(now time.Duration, kind RequestKind) {
+	if m.inFlight == 0 {
+		m.progressAt = now
+	}
 	m.inFlight++
 	if kind == OpeningRequest {
 		m.opening++
@@ -46,6 +49,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m.end(kind)
+	m.progressAt = now
 	if kind == OpeningRequest {
 		p.limiter.ResponseStarted(now, took, target)
 	}
--- a/internal/decision/selection/selection.go
+++ b/internal/decision/selection/selection.go
@@ -270,7 +270,7 @@
 	}
 	p.choices++
 	best.lastChosen = p.choices
-	best.begin(OpeningRequest)
+	best.begin(now, OpeningRequest)
 	return best
 }
 
@@ -291,9 +291,11 @@
 	return best
 }
 
-// cost estimates the time in ns until the endpoint would have served one more request.
+// cost estimates the time in ns until the endpoint would have served one more request. While
+// requests in flight get no response, the response time is at least the time since the last
+// one.
 func (p *Pool) cost(m *Member, now time.Duration) float64 {
-	response := m.responseTime(now, p.medianResponse)
+	response := max(m.responseTime(now, p.medianResponse), float64(m.stalledFor(now)))
 	slots := float64(max(m.endpoint.Slots, 1))
 	inFlight := float64(m.inFlight)
 	factor := 1 + inFlightCost*inFlight
@@ -319,6 +321,8 @@
 	Listed    bool
 	Condition Condition
 	InFlight  int
+	// FailureRate is the decayed share of requests without a response, 0 to 1.
+	FailureRate float64
 	// Response is the endpoint's response time as used for the choice, MedianResponse
 	// the service's median.
 	Response, MedianResponse time.Duration
@@ -331,6 +335,7 @@
 	defer p.mu.Unlock()
 	return Status{
 		Endpoint: m.endpoint, Listed: m.listed, Condition: m.condition, InFlight: m.inFlight,
-		Response: time.Duration(m.responseTime(now, p.medianResponse)), MedianResponse: time.Duration(p.medianResponse),
+		FailureRate: m.failureRate(now),
+		Response:    time.Duration(m.responseTime(now, p.medianResponse)), MedianResponse: time.Duration(p.medianResponse),
 	}
 }
--- a/internal/decision/selection/selection_test.go
+++ b/internal/decision/selection/selection_test.go
@@ -185,6 +185,51 @@
 	}
 }
 
+// Guards against an endpoint that attracts flows because it resets them at once: its flows
+// end without a packet of the caller, and it seems idle when they have timed out.
+func TestResetsAttractNoFlows(t *testing.T) {
+	const requestTimeout = 3 * time.Second
+	p := newDeskPool(10, 0)
+	broken := p.member(t, "i-1")
+	chosen := 0
+	var resetAt time.Duration
+	for now := time.Second; now < 11*time.Second; now += 60 * time.Millisecond {
+		if resetAt > 0 && now-resetAt >= requestTimeout {
+			broken.RequestFailed(now, OpeningRequest)
+			resetAt = 0
+		}
+		m := chooseAndOpen(p, now)
+		if m == broken {
+			chosen++
+			resetAt = now
+			continue
+		}
+		m.ResponseStarted(now, OpeningRequest, 30*time.Millisecond, 0)
+	}
+	if chosen > 2 {
+		t.Errorf("%d of 167 flows went to the endpoint that resets them", chosen)
+	}
+}
+
+// Guards against an endpoint that has stopped to respond and still gets flows because its
+// last responses were fast.
+func TestStalledEndpointGetsLess(t *testing.T) {
+	p := newDeskPool(2, 0)
+	stalled := p.member(t, "i-1")
+	stalled.RequestStarted(0, LaterRequest)
+	chosen := 0
+	for now := 200 * time.Millisecond; now < time.Second; now += 10 * time.Millisecond {
+		if m := chooseAndOpen(p, now); m == stalled {
+			chosen++
+		} else if m.inFlight > 4 {
+			m.ResponseStarted(now, OpeningRequest, 30*time.Millisecond, 0)
+		}
+	}
+	if chosen > 0 {
+		t.Errorf("%d of 80 flows went to the endpoint that has stopped to respond", chosen)
+	}
+}
+
 // Guards against new flows to an endpoint that has stopped responding: the first unanswered
 // handshakes must make it suspect before their callers retransmit.
 func TestUnresponsiveEndpointIsSuspectBeforeCallersRetransmit(t *testing.T) {
@@ -260,7 +305,7 @@
 	slow := []*Member{p.member(t, "i-1"), p.member(t, "i-2")}
 	for _, m := range slow {
 		for range 10 {
-			m.RequestStarted(LaterRequest)
+			m.RequestStarted(0, LaterRequest)
 		}
 	}
 	refused := 0
@@ -269,7 +314,7 @@
 		now := time.Duration(i) * 10 * time.Millisecond
 		for _, m := range slow {
 			m.ResponseStarted(now, LaterRequest, 4*target, target)
-			m.RequestStarted(LaterRequest)
+			m.RequestStarted(now, LaterRequest)
 		}
 		if len(opened) == 3 {
 			opened[0].ResponseStarted(now, OpeningRequest, target/5, target)
@@ -296,8 +341,8 @@
 	}
 	now := 600 * time.Millisecond
 	for _, m := range p.members {
-		m.RequestStarted(LaterRequest)
-		m.RequestStarted(LaterRequest)
+		m.RequestStarted(now, LaterRequest)
+		m.RequestStarted(now, LaterRequest)
 	}
 	for range 4 {
 		chooseAndOpen(p, now)
--- a/internal/decision/steering/steering_test.go
+++ b/internal/decision/steering/steering_test.go
@@ -192,7 +192,8 @@
 }
 
 // Guards against requests that stay counted as load for ever after their flow has
-// continued through another instance.
+// continued through another instance, and against an endpoint whose resets, which the
+// instance does not see, have no effect on its next choices.
 func TestRequestsInFlightEndAtTimeout(t *testing.T) {
 	i := newSmallInstance()
 	p := packetTo(443, 1000)
@@ -211,6 +212,9 @@
 	if inFlight() != 0 {
 		t.Errorf("%d requests in flight after the timeout", inFlight())
 	}
+	if rate := action.Member.Status(1600 * time.Millisecond).FailureRate; rate == 0 {
+		t.Error("the missing response does not count as a failure")
+	}
 }
 
 // Guards against a pause of the process that makes endpoints look slow or dead: requests
--- a/internal/decision/steering/table.go
+++ b/internal/decision/steering/table.go
@@ -115,7 +115,7 @@
 	if named != f.member {
 		if f.inFlight {
 			f.member.RequestDiscarded(f.kind)
-			named.RequestStarted(f.kind)
+			named.RequestStarted(now, f.kind)
 		}
 		f.member, f.label = named, p.Label
 	}
@@ -152,7 +152,7 @@
 		f.inFlight = true
 		f.kind = selection.LaterRequest
 		f.requestedAt = now
-		f.member.RequestStarted(f.kind)
+		f.member.RequestStarted(now, f.kind)
 	}
 	return response
 }
@@ -169,14 +169,14 @@
 	return true
 }
 
-// discardRequest ends the request in flight after its timeout without counting it as
-// failed: the caller may have continued through another instance, so the missing response
-// is no evidence against the endpoint. A flow that is not established is left unchanged;
-// its request counts as failed when the flow expires.
-func (f *flow) discardRequest() {
+// timeOutRequest counts the request in flight as failed after its timeout: an endpoint that
+// resets flows does so to the caller directly, who then sends nothing. A caller that has
+// continued through another instance looks the same, but that concerns all endpoints alike.
+// A flow that is not established is left unchanged until it expires.
+func (f *flow) timeOutRequest(now time.Duration) {
 	if f.established {
 		f.inFlight = false
-		f.member.RequestDiscarded(f.kind)
+		f.member.RequestFailed(now, f.kind)
 	}
 }
 
@@ -238,7 +238,7 @@
 	defer s.mu.Unlock()
 	for _, f := range s.flows {
 		if f.inFlight && now-f.lastPacketAt >= f.timeout {
-			f.discardRequest()
+			f.timeOutRequest(now)
 		}
 		if now-f.lastPacketAt < f.lifetime(idleTimeout) || !s.remove(f, now) {
 			continue
