--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -30,9 +30,6 @@
 	// maxDefaultWorkers bounds the number of workers if Settings.Workers is 0.
 	// One worker forwards more than an instance of the target scale receives.
 	maxDefaultWorkers = 4
-	// orphanTickInterval is the time between ticks of the orphan detector, which
-	// detects a pause of the process by a gap between them.
-	orphanTickInterval = lease.MaxTickGap / 4
 	// expireInterval is the time between two expiry sweeps. Each sweep visits
 	// expireEntriesPerShard entries per shard, which covers 400,000 entries in about
 	// 5 s.
@@ -315,62 +312,6 @@
 	return t.Sub(s.started)
 }
 
-// leaseValid reports whether this instance may act as an owner.
-func (s *Server) leaseValid(now time.Duration) bool {
-	s.leaseLock.Lock()
-	defer s.leaseLock.Unlock()
-	return s.lease.Valid(now) && !s.awaitSnapshot
-}
-
-// orphaned reports whether this instance has run without burdock-controld for so
-// long that it handles relayed packets itself.
-func (s *Server) orphaned(now time.Duration) bool {
-	s.leaseLock.Lock()
-	defer s.leaseLock.Unlock()
-	return s.orphan.Orphaned(&s.lease, now)
-}
-
-// runOrphanDetector ticks the orphan detector until the server stops.
-func (s *Server) runOrphanDetector() error {
-	ticker := time.NewTicker(orphanTickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-s.tomb.Dying():
-			return nil
-		case <-ticker.C:
-			s.leaseLock.Lock()
-			s.orphan.Tick(s.now())
-			s.leaseLock.Unlock()
-		}
-	}
-}
-
-// renewLease extends the lease and reports whether the instance was fenced
-// before. If the lease had expired, slots that the current tables assign to this
-// instance may have another owner. controld then makes the instance rejoin and
-// sends a new snapshot; the instance stays fenced until that is applied.
-func (s *Server) renewLease(duration time.Duration, incarnation uint64) (wasFenced bool, err error) {
-	s.leaseLock.Lock()
-	defer s.leaseLock.Unlock()
-	wasFenced, err = s.lease.Renew(s.now(), duration, incarnation)
-	if err == nil && wasFenced && s.state.Load().ownsSlots() {
-		s.awaitSnapshot = true
-	}
-	return wasFenced, err
-}
-
-// snapshotApplied lifts the fence that renewLease sets after the lease had expired.
-func (s *Server) snapshotApplied() {
-	s.leaseLock.Lock()
-	defer s.leaseLock.Unlock()
-	s.awaitSnapshot = false
-}
-
-func (s *Server) fenced() bool {
-	return !s.leaseValid(s.now())
-}
-
 // release returns the number of the release in force, 0 before the first.
 func (s *Server) release() uint64 {
 	if current := s.state.Load(); current != nil {
