--- a/internal/decision/flow/refusal.go
+++ b/internal/decision/flow/refusal.go
@@ -31,15 +31,14 @@
 	return uint16(now/time.Second%secondsPeriod) + 1
 }
 
-// expired reports whether the refusal is older than the maximum segment lifetime. It must
-// be called at least once in every secondsPeriod for each entry.
+// expired reports whether the refusal is older than the maximum segment lifetime. It is
+// correct only for refusals that are less than secondsPeriod old.
 func (r *refusal) expired(now time.Duration) bool {
 	age := (int(secondOf(now)) - int(r.second) + secondsPeriod) % secondsPeriod
 	return time.Duration(age)*time.Second > maxSegmentLifetime
 }
 
-// expireRefusals removes expired refusals. Without it a refusal would apply again when the
-// time stored in it repeats.
+// expireRefusals removes expired refusals, which would apply again after secondsPeriod.
 func (s *Shard) expireRefusals(now time.Duration) {
 	for i := range s.refusals {
 		if r := &s.refusals[i]; r.second != 0 && r.expired(now) {
