Log and count when the store has been restored from a copy

The client now reads the era of the store; the line store_restored, the line store_read at level debug and two metrics show it. No decision uses the era yet.

--- a/internal/discovery/metrics.go
+++ b/internal/discovery/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"burdockrelay.example/burdockrelay/common"
 )
 
 // Metrics records reads of the store and queries to peers.
@@ -13,6 +15,8 @@
 	queries      *prometheus.CounterVec
 	querySeconds prometheus.Histogram
 	deferred     prometheus.Counter
+	// storeEra and storeNumber are the parts of the store's revision at the last read.
+	storeEra, storeNumber prometheus.Gauge
 }
 
 // callBuckets are the upper bounds of the latency buckets, in seconds.
@@ -37,8 +41,14 @@
 		deferred: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "burdock_peer_answers_put_off_total", Help: "Questions of peers for everything that were put off.",
 		}),
+		storeEra: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "burdock_store_era", Help: "Era of the store at the last read of this instance; it grows when the store is restored from a copy.",
+		}),
+		storeNumber: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "burdock_store_last_revision", Help: "Revision of the store within its era at the last read of this instance.",
+		}),
 	}
-	registry.MustRegister(m.reads, m.readSeconds, m.queries, m.querySeconds, m.deferred, pools{cache},
+	registry.MustRegister(m.reads, m.readSeconds, m.queries, m.querySeconds, m.deferred, m.storeEra, m.storeNumber, pools{cache},
 		gauge("burdock_knowledge_age_seconds", "Time since the store confirmed what the instance knows.", func() float64 {
 			now := cache.Now()
 			_, fresh := cache.Current(now)
@@ -115,3 +125,8 @@
 	m.queries.WithLabelValues(resultLabel(ok)).Inc()
 	m.querySeconds.Observe(took.Seconds())
 }
+
+func (m *Metrics) storeRevision(revision common.Revision) {
+	m.storeEra.Set(float64(revision.Era))
+	m.storeNumber.Set(float64(revision.Number))
+}
--- a/internal/discovery/reads.go
+++ b/internal/discovery/reads.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"burdockrelay.example/burdockrelay/common"
 	"burdockrelay.example/burdockrelay/internal/directory"
 	"burdockrelay.example/burdockrelay/internal/resultcode"
 )
@@ -51,6 +52,8 @@
 	// full requests a snapshot instead of the changes. uninitialized is set if the
 	// cache had no configuration when the read started.
 	full, uninitialized bool
+	// revision is the revision of the store, zero if the read has not returned it.
+	revision common.Revision
 	// timeout cancels the read. hedge allows another read to start concurrently.
 	timeout, hedge *time.Timer
 
@@ -106,6 +109,7 @@
 		err = nil
 	}
 	s.metrics.read(err == nil, now-r.startedAt)
+	s.logStoreRevision(r.revision)
 	if err == nil || inTime || r.long {
 		s.scheduler.ReadDone(now, err == nil)
 		s.logStoreState(err, now-r.startedAt)
@@ -126,20 +130,20 @@
 		return update, false, err
 	}
 	startedAt := s.cache.Now()
-	revision, err := s.source.Revision(ctx)
+	r.revision, err = s.source.Revision(ctx)
 	if err != nil {
 		return update, false, err
 	}
-	if revision <= at {
+	if r.revision.Number <= at {
 		return directory.Update{Since: at, CompleteAt: at}, false, nil
 	}
 	if !r.full {
 		took := s.cache.Now() - startedAt
 		update, err = s.changes(ctx, max(changesTimeoutFactor*took, minChangesTimeout), at)
-		if err == nil && update.CompleteAt >= revision {
+		if err == nil && update.CompleteAt >= r.revision.Number {
 			return update, false, nil
 		}
-		s.logger.Info("changes_incomplete", zap.Uint64("since", at), zap.Uint64("revision", revision),
+		s.logger.Info("changes_incomplete", zap.Uint64("since", at), zap.Stringer("revision", r.revision),
 			zap.Uint64("at", update.CompleteAt), zap.Error(err))
 	}
 	update, err = s.source.Snapshot(ctx, r.proceed)
--- a/internal/discovery/registry_test.go
+++ b/internal/discovery/registry_test.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"burdockrelay.example/burdockrelay/common"
 	"burdockrelay.example/burdockrelay/internal/objectstore"
 	"burdockrelay.example/burdockrelay/internal/resultcode"
 	"burdockrelay.example/burdockrelay/proto/syncpb"
@@ -80,7 +81,7 @@
 func (s *memoryStore) List(_ context.Context, _, after string) (objectstore.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	page := objectstore.Page{Revision: s.revision}
+	page := objectstore.Page{Revision: common.Revision{Number: s.revision}}
 	for _, name := range s.names() {
 		if name <= after {
 			continue
--- a/internal/discovery/syncer.go
+++ b/internal/discovery/syncer.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"burdockrelay.example/burdockrelay/common"
 	"burdockrelay.example/burdockrelay/internal/decision/freshness"
 	"burdockrelay.example/burdockrelay/internal/directory"
 	"burdockrelay.example/burdockrelay/internal/resultcode"
@@ -18,7 +19,7 @@
 type Source interface {
 	// Revision returns the store's current revision with the cheapest linearizable
 	// read.
-	Revision(ctx context.Context) (uint64, error)
+	Revision(ctx context.Context) (common.Revision, error)
 	// Snapshot returns the configuration and all endpoints. It calls proceed before
 	// each page of a list after the first, possibly concurrently for two lists. An
 	// error of proceed ends the read.
@@ -66,6 +67,8 @@
 	// fullReadsUntil is the time until which snapshots are read instead of changes.
 	fullReadsUntil time.Duration
 	storeUp        bool
+	// lastRead is the revision of the store at the last read of it, zero before that.
+	lastRead common.Revision
 	// readsStore is set while this instance reads the store.
 	readsStore atomic.Bool
 	// lastPrune is when expired peers were last removed.
@@ -160,6 +163,22 @@
 	s.logger.Warn("store_lost", zap.Uint32("result_code", uint32(code)), zap.Duration("took", took), age, zap.Error(err))
 }
 
+// logStoreRevision logs the revision of the store at a read, and whether the store has
+// been restored from a copy since the last one.
+func (s *Syncer) logStoreRevision(revision common.Revision) {
+	if revision.IsZero() {
+		return
+	}
+	cached, _ := s.cache.CompleteAt()
+	s.logger.Debug("store_read", zap.Stringer("revision", revision), zap.Uint64("cached_revision", cached))
+	if !s.lastRead.IsZero() && revision.Era != s.lastRead.Era {
+		s.logger.Warn("store_restored", zap.Stringer("from_revision", s.lastRead), zap.Stringer("revision", revision),
+			zap.Uint64("cached_revision", cached))
+	}
+	s.lastRead = revision
+	s.metrics.storeRevision(revision)
+}
+
 // query sends one query to a peer.
 func (s *Syncer) query(ctx context.Context, name string, address netip.AddrPort) {
 	at, configurationRevision := s.cache.CompleteAt()
--- a/internal/objectstore/client.go
+++ b/internal/objectstore/client.go
@@ -100,20 +100,27 @@
 	c.calls.WithLabelValues(call.Verb, call.Kind, fmt.Sprint(status)).Inc()
 }
 
+// Response is a complete response of a store.
+type Response struct {
+	Status  int
+	Header  http.Header
+	Content []byte
+}
+
 // Do makes a call and reads the whole response body.
-func (c *HTTPClient) Do(ctx context.Context, call *Call) (status int, content []byte, err error) {
+func (c *HTTPClient) Do(ctx context.Context, call *Call) (*Response, error) {
 	started := time.Now()
 	response, err := c.Send(ctx, call)
 	if err != nil {
-		return 0, nil, err
+		return nil, err
 	}
 	defer response.Body.Close()
-	content, err = io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	c.seconds.WithLabelValues(call.Verb).Observe(time.Since(started).Seconds())
 	if err != nil {
-		return response.StatusCode, nil, TransportError(call.Method, err)
+		return nil, TransportError(call.Method, err)
 	}
-	return response.StatusCode, content, nil
+	return &Response{Status: response.StatusCode, Header: response.Header, Content: content}, nil
 }
 
 // TransportError returns the error of a call without a complete response. A write may
--- a/internal/objectstore/client_test.go
+++ b/internal/objectstore/client_test.go
@@ -59,7 +59,7 @@
 		{"read without a connection", get(gone.URL), resultcode.PlatformUnreachable},
 		{"write without a connection", put(gone.URL), resultcode.PlatformUnreachable},
 	} {
-		if _, _, err := client.Do(t.Context(), test.call); codeOf(err) != test.want {
+		if _, err := client.Do(t.Context(), test.call); codeOf(err) != test.want {
 			t.Errorf("%s: code %d (%v), want %d", test.name, codeOf(err), err, test.want)
 		}
 	}
@@ -73,10 +73,10 @@
 	}))
 	defer server.Close()
 	client := NewHTTPClient(1, Budget{PerSecond: 100, Burst: 10}, nil)
-	if _, _, err := client.Do(t.Context(), get(server.URL)); codeOf(err) != resultcode.PlatformUnreachable {
+	if _, err := client.Do(t.Context(), get(server.URL)); codeOf(err) != resultcode.PlatformUnreachable {
 		t.Errorf("read with a truncated response: %v", err)
 	}
-	if _, _, err := client.Do(t.Context(), put(server.URL)); codeOf(err) != resultcode.PlatformUncertain {
+	if _, err := client.Do(t.Context(), put(server.URL)); codeOf(err) != resultcode.PlatformUncertain {
 		t.Errorf("write with a truncated response: %v", err)
 	}
 }
@@ -89,13 +89,13 @@
 	registry := prometheus.NewRegistry()
 	client := NewHTTPClient(1, Budget{PerSecond: 0.1, Burst: 3}, registry)
 	for range 3 {
-		if _, _, err := client.Do(t.Context(), get(server.URL)); err != nil {
+		if _, err := client.Do(t.Context(), get(server.URL)); err != nil {
 			t.Fatal(err)
 		}
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	if _, _, err := client.Do(ctx, get(server.URL)); codeOf(err) != resultcode.PlatformBudget {
+	if _, err := client.Do(ctx, get(server.URL)); codeOf(err) != resultcode.PlatformBudget {
 		t.Errorf("call beyond the budget: %v", err)
 	}
 	if counted := testutil.ToFloat64(client.calls.WithLabelValues("get", "servers", "200")); calls != 3 || counted != 3 {
--- a/internal/objectstore/objectstore.go
+++ b/internal/objectstore/objectstore.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"time"
+
+	"burdockrelay.example/burdockrelay/common"
 )
 
 // Object is one object with its encoded content.
@@ -20,21 +22,21 @@
 type Page struct {
 	Objects []Object
 	// Revision is the store revision at which the page was read.
-	Revision uint64
+	Revision common.Revision
 	// More is set if there are objects after the last one of this page.
 	More bool
 }
 
 // ListAll reads all pages of a list. The function list returns the page after a name.
 // The list is complete at the revision of the first page, which ListAll returns in at.
-func ListAll(list func(after string) (Page, error)) (objects []Object, at uint64, err error) {
+func ListAll(list func(after string) (Page, error)) (objects []Object, at common.Revision, err error) {
 	after := ""
 	for {
 		page, err := list(after)
 		if err != nil {
-			return nil, 0, err
+			return nil, common.Revision{}, err
 		}
-		if at == 0 {
+		if at.IsZero() {
 			at = page.Revision
 		}
 		objects = append(objects, page.Objects...)
@@ -55,7 +57,7 @@
 type Changes struct {
 	Events []Event
 	// Revision is the revision after which the next watch continues.
-	Revision uint64
+	Revision common.Revision
 }
 
 // Store is a client of an object store. Its errors have the result codes of the
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -108,15 +108,15 @@
 		}
 		call.Body = encoded
 	}
-	status, body, err := c.httpClient.Do(ctx, call)
+	response, err := c.httpClient.Do(ctx, call)
 	if err != nil {
 		return nil, err
 	}
-	if status >= http.StatusMultipleChoices {
-		return nil, statusError(call.Method, status, body)
+	if response.Status >= http.StatusMultipleChoices {
+		return nil, statusError(call.Method, response.Status, response.Content)
 	}
 	var result T
-	if err := json.Unmarshal(body, &result); err != nil {
+	if err := json.Unmarshal(response.Content, &result); err != nil {
 		return nil, objectstore.DecodeError(call.Method, err)
 	}
 	return &result, nil
