--- a/standins/testbed/store.go
+++ b/standins/testbed/store.go
@@ -31,7 +31,9 @@
 
 // Store holds objects by kind and name under one revision counter.
 type Store struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// era is incremented by each restore.
+	era      uint64
 	revision uint64
 	objects  map[string]map[string]object
 	history  map[string][]change
@@ -49,6 +51,7 @@
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{
+		era:      1,
 		revision: 1,
 		objects:  make(map[string]map[string]object),
 		history:  make(map[string][]change),
@@ -152,8 +155,16 @@
 	s.pageSize = objects
 }
 
+// position is the era and the revision of a store.
+type position struct {
+	era, revision uint64
+}
+
+// position returns the current position. The caller holds mu.
+func (s *Store) position() position { return position{s.era, s.revision} }
+
 // list returns one page of the objects of a kind whose names sort after a name.
-func (s *Store) list(kind, after string) (items []object, hasMore bool, revision uint64) {
+func (s *Store) list(kind, after string) (items []object, hasMore bool, at position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	items = []object{}
@@ -162,21 +173,21 @@
 			continue
 		}
 		if len(items) == s.pageSize {
-			return items, true, s.revision
+			return items, true, s.position()
 		}
 		items = append(items, s.objects[kind][name])
 	}
-	return items, false, s.revision
+	return items, false, s.position()
 }
 
 // events returns the changes of a kind after a revision, whether the history still
 // contains all of them, whether watches are blocked, and a channel that is closed at
 // the next change.
-func (s *Store) events(kind string, after uint64) (events []change, revision uint64, complete, watchesBlocked bool, changed <-chan struct{}) {
+func (s *Store) events(kind string, after uint64) (events []change, at position, complete, watchesBlocked bool, changed <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.droppedThrough {
-		return nil, s.revision, false, s.watchesBlocked, s.changed
+	if after < s.droppedThrough || after > s.revision {
+		return nil, s.position(), false, s.watchesBlocked, s.changed
 	}
 	events = []change{}
 	for _, c := range s.history[kind] {
@@ -184,5 +195,5 @@
 			events = append(events, c)
 		}
 	}
-	return events, s.revision, true, s.watchesBlocked, s.changed
+	return events, s.position(), true, s.watchesBlocked, s.changed
 }
--- a/standins/testbed/store_server.go
+++ b/standins/testbed/store_server.go
@@ -90,6 +90,7 @@
 func (s *StoreServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.store.mu.Lock()
 	s.store.calls++
+	setEra(w, s.store.era)
 	s.store.mu.Unlock()
 	faults, faultsChanged := s.currentFaults()
 	switch faults.Mode {
@@ -121,17 +122,23 @@
 		return
 	}
 	time.Sleep(faults.Delay)
-	status, response := s.response(r, body)
+	status, response, era := s.response(r, body)
 	if status == 0 {
 		s.holdResponse(r, faultsChanged)
 		resetConnection(w)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
+	setEra(w, era)
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(response)
 }
 
+// setEra sets the header of a response with the store's era.
+func setEra(w http.ResponseWriter, era uint64) {
+	w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+}
+
 // holdResponse waits until the client cancels the call or the faults change.
 func (s *StoreServer) holdResponse(r *http.Request, faultsChanged <-chan struct{}) {
 	select {
@@ -169,17 +176,17 @@
 	return kind, name
 }
 
-// response executes a call and returns its HTTP status and response body. Status 0 means
-// that there is no response.
-func (s *StoreServer) response(r *http.Request, body []byte) (status int, response any) {
+// response executes a call and returns its HTTP status, its response body and the era in
+// which it was executed. Status 0 means that there is no response.
+func (s *StoreServer) response(r *http.Request, body []byte) (status int, response any, era uint64) {
 	kind, name := parsePath(r)
 	query := r.URL.Query()
 	switch {
 	case r.Method == http.MethodGet && query.Has("watch"):
 		return s.watch(r, kind)
 	case r.Method == http.MethodGet && name == "":
-		items, hasMore, revision := s.store.list(kind, query.Get("after"))
-		return http.StatusOK, map[string]any{"items": items, "has_more": hasMore, "store_revision": revision}
+		items, hasMore, at := s.store.list(kind, query.Get("after"))
+		return http.StatusOK, map[string]any{"items": items, "has_more": hasMore, "store_revision": at.revision}, at.era
 	default:
 		return s.store.handleObject(r.Method, kind, name, body)
 	}
@@ -187,13 +194,13 @@
 
 // watch returns the changes after a revision as soon as there is one, or an empty list
 // when the wait time has passed.
-func (s *StoreServer) watch(r *http.Request, kind string) (status int, response any) {
+func (s *StoreServer) watch(r *http.Request, kind string) (status int, response any, era uint64) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	deadline := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer deadline.Stop()
 	for {
-		events, revision, complete, watchesBlocked, changed := s.store.events(kind, after)
+		events, at, complete, watchesBlocked, changed := s.store.events(kind, after)
 		switch {
 		case watchesBlocked:
 			// A blocked watch gets no response, not even an empty one.
@@ -201,25 +208,32 @@
 			case <-changed:
 				continue
 			case <-r.Context().Done():
-				return 0, nil
+				return 0, nil, 0
 			}
 		case !complete:
-			return http.StatusGone, map[string]any{"store_revision": revision}
+			return http.StatusGone, map[string]any{"store_revision": at.revision}, at.era
 		case len(events) > 0 || wait == 0:
-			return http.StatusOK, map[string]any{"events": events, "store_revision": revision}
+			return http.StatusOK, map[string]any{"events": events, "store_revision": at.revision}, at.era
 		}
 		select {
 		case <-changed:
 		case <-r.Context().Done():
-			return 0, nil
+			return 0, nil, 0
 		case <-deadline.C:
-			return http.StatusOK, map[string]any{"events": []change{}, "store_revision": revision}
+			return http.StatusOK, map[string]any{"events": []change{}, "store_revision": at.revision}, at.era
 		}
 	}
 }
 
 // handleObject executes a call for one object.
-func (s *Store) handleObject(method, kind, name string, body []byte) (status int, response any) {
+func (s *Store) handleObject(method, kind, name string, body []byte) (status int, response any, era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	status, response = s.handleObjectLocked(method, kind, name, body)
+	return status, response, s.era
+}
+
+func (s *Store) handleObjectLocked(method, kind, name string, body []byte) (status int, response any) {
 	var requested object
 	if len(body) > 0 {
 		if err := json.Unmarshal(body, &requested); err != nil {
@@ -229,8 +243,6 @@
 	if method == http.MethodPost {
 		name = requested.Meta.Name
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	current, exists := s.objects[kind][name]
 	switch {
 	case method == http.MethodPost && exists:
