Compare revisions of the store together with its era

What callers saw: after the store had come back with the content of some seconds before, callers of a published rule were refused, and callers of a withdrawn rule were served, until the store's revision had passed the one from before.

Cause: every comparison in the cache took revisions for one increasing counter of a store that loses nothing. A restored store counts from the copy again. A read whose revision was not above the cached one was taken for an unchanged store, changes were requested since a revision of another history, and the merge, the differences between peers and the encoded configuration dropped what had a lower or equal revision. The class of fault: an order that is valid within one history only is used across two.

Change: a revision is an era and a number, in the cache, in the store's client and between peers. What the copy has must not revert what was accepted before: configurations are ordered by the operator's version, and the entries of an endpoint by its start and its count of heartbeats, for as long as an entry without heartbeats can live. A difference between two eras has only what the restore has changed, so that not every instance has to receive all endpoints. A revision that goes back within an era is now an error instead of an unchanged store.

Why it works: two histories are told apart by the store itself, and what has to survive a restore is ordered by counters that the store does not assign.

--- a/internal/decision/selection/comparison_test.go
+++ b/internal/decision/selection/comparison_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"burdockrelay.example/burdockrelay/common"
 	"burdockrelay.example/burdockrelay/internal/directory"
 )
 
@@ -116,7 +117,7 @@
 		}
 		list = append(list, directory.Endpoint{
 			Name: fmt.Sprintf("i-%d", i), ID: uint64(i + 1), Service: "desk",
-			DataCentre: dataCentreName(i % dataCentreCount), Slots: slotsPerEndpoint, Revision: 1,
+			DataCentre: dataCentreName(i % dataCentreCount), Slots: slotsPerEndpoint, Revision: common.Revision{Number: 1},
 		})
 	}
 	for i := range load.instances {
--- a/internal/decision/selection/selection_test.go
+++ b/internal/decision/selection/selection_test.go
@@ -6,13 +6,14 @@
 	"testing"
 	"time"
 
+	"burdockrelay.example/burdockrelay/common"
 	"burdockrelay.example/burdockrelay/internal/directory"
 )
 
 const home = "fukuoka"
 
 func endpoint(name, dataCentre string) directory.Endpoint {
-	return directory.Endpoint{Name: name, ID: 1, Service: "desk", DataCentre: dataCentre, Slots: 2, Revision: 1}
+	return directory.Endpoint{Name: name, ID: 1, Service: "desk", DataCentre: dataCentre, Slots: 2, Revision: common.Revision{Number: 1}}
 }
 
 // newDeskPool returns a pool of the service "desk" with local endpoints in the home data
@@ -388,7 +389,7 @@
 	}
 	draining := []directory.Endpoint{endpoint("i-1", home), endpoint("i-2", home)}
 	for i := range draining {
-		draining[i].Draining, draining[i].Revision = true, 2
+		draining[i].Draining, draining[i].Revision = true, common.Revision{Number: 2}
 	}
 	p.Update(draining, 2*time.Second)
 	if m, _ := p.Choose(2*time.Second, nil, anyMember); m != nil {
--- a/internal/decision/steering/simulation_test.go
+++ b/internal/decision/steering/simulation_test.go
@@ -192,7 +192,7 @@
 	s.endpoints[name] = &simulatedEndpoint{flows: map[common.FiveTuple]*endpointFlow{}}
 	s.catalog = append(s.catalog, directory.Endpoint{
 		Name: name, ID: s.nextID * 7919, Service: service, DataCentre: "fukuoka", Slots: 2,
-		StartedAt: int64(s.nextID), Revision: s.nextID,
+		StartedAt: int64(s.nextID), Revision: common.Revision{Number: s.nextID},
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(s.nextID)}), 80),
 	})
 }
@@ -473,7 +473,7 @@
 			old := s.random.Intn(len(s.catalog))
 			s.addEndpoint(s.catalog[old].Service)
 			s.catalog[old].Draining = true
-			s.catalog[old].Revision += 1000
+			s.catalog[old].Revision.Number += 1000
 			for _, i := range s.instances {
 				// Instances receive the change at different times.
 				s.schedule(time.Duration(s.random.Intn(500))*time.Millisecond, i.updateView)
--- a/internal/directory/catalog.go
+++ b/internal/directory/catalog.go
@@ -4,27 +4,50 @@
 	"slices"
 	"strings"
 	"time"
+
+	"burdockrelay.example/burdockrelay/common"
 )
 
 // EndpointRecord is the last known state of an endpoint, including one that the store
 // no longer lists.
 type EndpointRecord struct {
 	Endpoint Endpoint
-	// MissingAt is a store revision at which the endpoint was not listed, 0 while it
+	// MissingAt is a store revision at which the endpoint was not listed, zero while it
 	// is listed. MissingSince is when this instance, or the peer that reported it,
 	// first learned that the endpoint is missing.
-	MissingAt    uint64
+	MissingAt    common.Revision
 	MissingSince time.Duration
+	// deferred is an older entry of the endpoint that a restored store lists; see
+	// restoreGrace. It is nil if there is none.
+	deferred *Endpoint
 }
 
 // Missing reports whether the store no longer lists the endpoint.
-func (r *EndpointRecord) Missing() bool { return r.MissingAt != 0 }
+func (r *EndpointRecord) Missing() bool { return !r.MissingAt.IsZero() }
+
+// latestRevision returns the highest revision that the record reflects.
+func (r *EndpointRecord) latestRevision() common.Revision {
+	if r.MissingAt.After(r.Endpoint.Revision) {
+		return r.MissingAt
+	}
+	return r.Endpoint.Revision
+}
+
+// markMissing records that the store does not list the endpoint at a revision.
+func (r *EndpointRecord) markMissing(at common.Revision, now time.Duration) {
+	if !r.Missing() {
+		r.MissingSince = now
+	}
+	r.MissingAt = at
+	r.deferred = nil
+}
 
 // Update is the difference between two revisions of the store, or a snapshot of one.
 type Update struct {
 	// Since and CompleteAt are revisions: a catalog that is complete at Since or later
-	// is complete at CompleteAt after the update.
-	Since, CompleteAt uint64
+	// is complete at CompleteAt after the update. If they belong to different eras, the
+	// catalog must be complete at exactly Since.
+	Since, CompleteAt common.Revision
 	// Configuration is nil if it has not changed after Since.
 	Configuration *Configuration
 	// Endpoints are the changed endpoints, or all of them if Full is set.
@@ -33,20 +56,23 @@
 }
 
 // Catalog holds the merged content of updates from the store and from peers, which may
-// arrive in any order. Entries are ordered by the store's revisions, so an older update
-// never replaces a newer entry. A catalog is not safe for concurrent use.
+// arrive in any order. Within an era of the store, entries of endpoints are ordered by
+// revision, so an older update never replaces a newer entry. Across eras they are ordered
+// by the endpoint's own sequence. A catalog is not safe for concurrent use.
 type Catalog struct {
 	configuration *Configuration
 	byName        map[string]*EndpointRecord
 	// all holds the same records as byName, sorted by name unless unsorted is set.
 	all        []*EndpointRecord
 	unsorted   bool
-	completeAt uint64
+	completeAt common.Revision
 	// newestRevision is the highest revision of any record seen in an update.
-	newestRevision uint64
-	// historyFrom is the revision since which every removed endpoint has a record. A
-	// difference from an earlier revision could lack removals.
-	historyFrom uint64
+	newestRevision common.Revision
+	coverage       coverage
+	// eraEnteredAt is when the catalog got its first content of the present era.
+	eraEnteredAt time.Duration
+	// hasDeferred is set if any record may have a deferred entry.
+	hasDeferred bool
 }
 
 // NewCatalog returns an empty catalog.
@@ -57,102 +83,62 @@
 // Configuration returns the newest configuration, nil if there is none yet.
 func (c *Catalog) Configuration() *Configuration { return c.configuration }
 
-// CompleteAt returns the store revision up to which the catalog has all changes, 0 if
+// CompleteAt returns the store revision up to which the catalog has all changes, zero if
 // it has no content yet.
-func (c *Catalog) CompleteAt() uint64 { return c.completeAt }
+func (c *Catalog) CompleteAt() common.Revision { return c.completeAt }
 
-// Apply merges an update. usable is false if the update is rejected because it starts
-// after the revision at which the catalog is complete. changed reports whether the
-// content of the catalog has changed.
+// Apply merges an update. usable is false if the catalog is not complete at the revision
+// of the update afterwards: the update starts after the revision at which the catalog is
+// complete, or is of an earlier era. changed reports whether the content of the catalog
+// has changed.
 func (c *Catalog) Apply(u *Update, now time.Duration) (changed, usable bool) {
-	if !u.Full && c.completeAt < u.Since {
+	if !u.Full && !u.continues(c.completeAt) {
 		return false, false
 	}
+	if c.completeAt.IsZero() || u.CompleteAt.Era > c.completeAt.Era {
+		c.enterEra(u.CompleteAt, now)
+	}
 	changed = c.mergeConfiguration(u.Configuration)
 	listed := make(map[string]bool, len(u.Endpoints))
 	for i := range u.Endpoints {
 		incoming := &u.Endpoints[i]
 		listed[incoming.Endpoint.Name] = !incoming.Missing()
-		c.newestRevision = max(c.newestRevision, incoming.latestRevision())
+		c.newestRevision = latest(c.newestRevision, incoming.latestRevision())
 		changed = c.merge(incoming, now) || changed
 	}
+	if u.CompleteAt.Era < c.completeAt.Era {
+		return changed, false
+	}
 	if u.Full {
 		changed = c.markUnlisted(listed, u.CompleteAt, now) || changed
-		// A snapshot does not contain endpoints that were added and removed before it.
-		c.historyFrom = max(c.historyFrom, u.CompleteAt)
+		c.coverage.snapshotApplied(u.CompleteAt)
 	}
-	c.completeAt = max(c.completeAt, u.CompleteAt)
+	c.completeAt = latest(c.completeAt, u.CompleteAt)
 	return changed, true
 }
 
-func (c *Catalog) mergeConfiguration(incoming *Configuration) bool {
-	if incoming == nil || c.configuration != nil && incoming.Revision <= c.configuration.Revision {
-		return false
+// enterEra prepares the catalog for its first update of an era.
+func (c *Catalog) enterEra(entered common.Revision, now time.Duration) {
+	c.eraEnteredAt = now
+	if !c.completeAt.IsZero() {
+		c.coverage.enterEra(c.completeAt, entered)
 	}
-	c.configuration = incoming
-	return true
 }
 
-func (c *Catalog) merge(incoming *EndpointRecord, now time.Duration) bool {
-	existing := c.byName[incoming.Endpoint.Name]
-	if existing == nil {
-		return c.add(incoming, now)
-	}
-	if incoming.latestRevision() <= max(existing.latestRevision(), c.completeAt) {
-		return false
+// continues reports whether the changes in the update are all that a catalog complete at a
+// revision lacks.
+func (u *Update) continues(completeAt common.Revision) bool {
+	if u.Since.Era != u.CompleteAt.Era {
+		return completeAt == u.Since
 	}
-	if !incoming.Missing() {
-		*existing = *incoming
-		return true
-	}
-	if incoming.Endpoint.Service != "" {
-		existing.Endpoint = incoming.Endpoint
-	}
-	existing.markMissing(incoming.MissingAt, now)
-	return true
+	return !u.Since.After(completeAt)
 }
 
-// add adds a record of an endpoint that the catalog does not hold. It ignores records
-// that have only a name, because no flow can belong to such an endpoint, and listed
-// endpoints of a revision that the catalog already covers: these were removed and pruned
-// since.
-func (c *Catalog) add(incoming *EndpointRecord, now time.Duration) bool {
-	if incoming.Endpoint.Service == "" || !incoming.Missing() && incoming.latestRevision() <= c.completeAt {
-		return false
-	}
-	added := *incoming
-	if added.Missing() && added.MissingSince == 0 {
-		added.MissingSince = now
+func latest(a, b common.Revision) common.Revision {
+	if a.After(b) {
+		return a
 	}
-	c.byName[incoming.Endpoint.Name] = &added
-	c.all = append(c.all, &added)
-	c.unsorted = true
-	return true
-}
-
-// latestRevision returns the highest revision that the record reflects.
-func (r *EndpointRecord) latestRevision() uint64 { return max(r.Endpoint.Revision, r.MissingAt) }
-
-// markMissing records that the store does not list the endpoint at a revision.
-func (r *EndpointRecord) markMissing(at uint64, now time.Duration) {
-	if !r.Missing() {
-		r.MissingSince = now
-	}
-	r.MissingAt = at
-}
-
-// markUnlisted marks the endpoints that a snapshot at a revision does not list as
-// missing. It reports whether there are any.
-func (c *Catalog) markUnlisted(listed map[string]bool, at uint64, now time.Duration) bool {
-	changed := false
-	for name, r := range c.byName {
-		if !listed[name] && !r.Missing() && r.latestRevision() <= at {
-			r.markMissing(at, now)
-			c.newestRevision = max(c.newestRevision, at)
-			changed = true
-		}
-	}
-	return changed
+	return b
 }
 
 // Records returns all records sorted by name. The slice is valid until the catalog
@@ -170,36 +156,51 @@
 
 // RequiresFull reports whether a difference since a revision must contain all endpoints,
 // because the catalog may lack records of endpoints that were removed since.
-func (c *Catalog) RequiresFull(since uint64) bool { return since == 0 || since < c.historyFrom }
+func (c *Catalog) RequiresFull(since common.Revision) bool {
+	return !c.coverage.covers(since, c.completeAt)
+}
 
 // Difference returns the update from a revision to the current content: the changes if
 // the catalog still has all of them, else a full update. The configuration is included
-// if it is newer than configurationRevision.
-func (c *Catalog) Difference(configurationRevision, since uint64) Update {
+// if it is newer than the given one.
+func (c *Catalog) Difference(configuration ConfigurationID, since common.Revision) Update {
 	u := Update{Since: since, CompleteAt: c.completeAt, Full: c.RequiresFull(since)}
-	if c.configuration != nil && c.configuration.Revision > configurationRevision {
+	if c.configuration.ID().After(configuration) {
 		u.Configuration = c.configuration
 	}
-	if !u.Full && since >= c.newestRevision {
+	if !u.Full && !c.newestRevision.After(since) {
 		return u
 	}
 	for _, r := range c.Records() {
-		if u.Full || r.latestRevision() > since {
-			u.Endpoints = append(u.Endpoints, *r)
+		if u.Full || r.latestRevision().After(since) {
+			u.Endpoints = append(u.Endpoints, c.inPresentEra(*r))
+		}
+		if r.deferred != nil && (u.Full || r.deferred.Revision.After(since)) {
+			u.Endpoints = append(u.Endpoints, c.inPresentEra(EndpointRecord{Endpoint: *r.deferred}))
 		}
 	}
 	return u
 }
 
+// inPresentEra returns a record for a difference. An entry that the store has listed
+// unchanged since an earlier era gets the present one.
+func (c *Catalog) inPresentEra(r EndpointRecord) EndpointRecord {
+	if !r.Missing() && r.deferred == nil {
+		r.Endpoint.Revision.Era = c.completeAt.Era
+	}
+	r.deferred = nil
+	return r
+}
+
 // Prune removes the records of endpoints that have been missing for the duration after,
-// and returns their number.
+// unless the store lists an older entry of them, and returns their number.
 func (c *Catalog) Prune(after, now time.Duration) int {
 	before := len(c.all)
 	c.all = slices.DeleteFunc(c.all, func(r *EndpointRecord) bool {
-		if !r.Missing() || now-r.MissingSince < after {
+		if !r.Missing() || r.deferred != nil || now-r.MissingSince < after {
 			return false
 		}
-		c.historyFrom = max(c.historyFrom, r.MissingAt)
+		c.coverage.removalPruned(r.MissingAt)
 		delete(c.byName, r.Endpoint.Name)
 		return true
 	})
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -4,6 +4,7 @@
 package directory
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -13,16 +14,37 @@
 // Configuration is one accepted configuration.
 type Configuration struct {
 	// Version is the version number set by the operator. It grows in irregular steps.
+	// The configuration with the highest version is the newest, even if a restored
+	// store lists an older one.
 	Version uint64
-	// Revision is the store revision of the object's last change. The configuration
-	// with the highest revision is the newest.
-	Revision uint64
+	// Revision is the store revision of the object's last change.
+	Revision common.Revision
 	Rules    []Rule
 	Services []Service
 	// IdleTimeout is the time without packets after which a flow ends.
 	IdleTimeout time.Duration
 }
 
+// ID returns the identity of the configuration, the zero value if c is nil.
+func (c *Configuration) ID() ConfigurationID {
+	if c == nil {
+		return ConfigurationID{}
+	}
+	return ConfigurationID{Version: c.Version, Revision: c.Revision}
+}
+
+// ConfigurationID identifies a configuration as one entry of the store. The zero value
+// precedes all others.
+type ConfigurationID struct {
+	Version  uint64
+	Revision common.Revision
+}
+
+// After reports whether other precedes the configuration.
+func (i ConfigurationID) After(other ConfigurationID) bool {
+	return cmp.Or(cmp.Compare(i.Version, other.Version), i.Revision.Compare(other.Revision)) > 0
+}
+
 // Rule maps the flows to one address to services.
 type Rule struct {
 	Name    string
@@ -72,8 +94,20 @@
 	WarmUp time.Duration
 	// StartedAt is the start time of the endpoint in Unix milliseconds, 0 if unknown.
 	StartedAt int64
+	// Sequence counts the heartbeats of the endpoint since its start, at the time at
+	// which it wrote this entry.
+	Sequence uint64
 	// Revision is the store revision of the entry's last change.
-	Revision uint64
+	Revision common.Revision
+}
+
+// WrittenBefore reports whether the endpoint wrote this entry before the other one. It
+// does not depend on the revisions, which a restored store assigns again.
+func (e *Endpoint) WrittenBefore(other *Endpoint) bool {
+	if e.StartedAt != other.StartedAt && e.StartedAt != 0 && other.StartedAt != 0 {
+		return e.StartedAt < other.StartedAt
+	}
+	return e.Sequence < other.Sequence
 }
 
 // SameIncarnation reports whether both entries describe the same endpoint since the
--- a/internal/discovery/benchmark_test.go
+++ b/internal/discovery/benchmark_test.go
@@ -20,7 +20,7 @@
 
 // testUpdate returns a snapshot with a number of endpoints, 7 of each service.
 func testUpdate(endpoints int) *directory.Update {
-	u := &directory.Update{CompleteAt: uint64(endpoints), Full: true, Configuration: &directory.Configuration{Version: 1, Revision: 1}}
+	u := &directory.Update{CompleteAt: common.Revision{Number: uint64(endpoints)}, Full: true, Configuration: &directory.Configuration{Version: 1, Revision: common.Revision{Number: 1}}}
 	for i := range endpoints {
 		service := fmt.Sprintf("service-%d", i/7)
 		if i%7 == 0 {
@@ -33,7 +33,7 @@
 		u.Endpoints = append(u.Endpoints, directory.EndpointRecord{Endpoint: directory.Endpoint{
 			Name: fmt.Sprintf("i-%x", 1_000_000+i*7919), ID: uint64(1_000_000 + i*7919), Service: service,
 			Address:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 8080),
-			DataCentre: fmt.Sprintf("dc-%d", i%12), Slots: 2, StartedAt: int64(1 + i), Revision: uint64(1 + i),
+			DataCentre: fmt.Sprintf("dc-%d", i%12), Slots: 2, StartedAt: int64(1 + i), Revision: common.Revision{Number: uint64(1 + i)},
 		}})
 	}
 	return u
@@ -58,14 +58,15 @@
 			all = nil
 			runtime.GC()
 			runtime.ReadMemStats(&after)
-			at := uint64(endpoints)
+			at := common.Revision{Number: uint64(endpoints)}
 			b.ReportAllocs()
 			b.ResetTimer()
 			for range b.N {
-				at++
+				since := at
+				at.Number++
 				changed.Endpoint.Revision = at
 				changed.Endpoint.Draining = !changed.Endpoint.Draining
-				cache.Apply(&directory.Update{Since: at - 1, CompleteAt: at, Endpoints: []directory.EndpointRecord{changed}}, Provenance{})
+				cache.Apply(&directory.Update{Since: since, CompleteAt: at, Endpoints: []directory.EndpointRecord{changed}}, Provenance{})
 			}
 			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(endpoints), "heap-B/endpoint")
 		})
@@ -149,7 +150,7 @@
 	go func() { _ = s.Serve(b.Context(), counting) }()
 	client := newPeerClient(time.Second)
 	request := &syncpb.FetchRequest{
-		Asker: querier.Self(), ConfigurationRevision: 1, EndpointsRevision: 14_000, PeersHash: s.Peers.Hash(),
+		Asker: querier.Self(), ConfigurationVersion: 1, ConfigurationRevision: 1, EndpointsRevision: 14_000, PeersHash: s.Peers.Hash(),
 	}
 	b.ReportAllocs()
 	b.ResetTimer()
--- a/internal/discovery/cache.go
+++ b/internal/discovery/cache.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"burdockrelay.example/burdockrelay/common"
 	"burdockrelay.example/burdockrelay/internal/decision/freshness"
 	"burdockrelay.example/burdockrelay/internal/decision/label"
 	"burdockrelay.example/burdockrelay/internal/decision/selection"
@@ -130,14 +131,11 @@
 }
 
 // CompleteAt returns the store revision at which the endpoints are complete, and the
-// revision of the configuration.
-func (c *Cache) CompleteAt() (at, configuration uint64) {
+// identity of the configuration.
+func (c *Cache) CompleteAt() (at common.Revision, configuration directory.ConfigurationID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if conf := c.catalog.Configuration(); conf != nil {
-		configuration = conf.Revision
-	}
-	return c.catalog.CompleteAt(), configuration
+	return c.catalog.CompleteAt(), c.catalog.Configuration().ID()
 }
 
 // pool returns the pool of a service. The caller holds mu.
@@ -174,17 +172,22 @@
 
 // ApplyResult is the result of Cache.Apply.
 type ApplyResult struct {
-	// Usable is false if the update was rejected because changes before it are missing.
+	// Usable is false if the update does not confirm the cached state, because changes
+	// before it are missing or because it is from before a restore of the store.
 	Usable bool
 	// Changed is set if the update changed the cached state.
 	Changed bool
+	// RestoredFrom is the last cached revision of the previous era if the update is the
+	// first one after a restore of the store, else zero.
+	RestoredFrom common.Revision
 	// StoreRecovered is set if the update shows that the store has recovered from an
 	// outage.
 	StoreRecovered bool
 	// NewVersion is set if the configuration in force has another version.
 	NewVersion bool
 	// Version and CompleteAt describe the cache after the update.
-	Version, CompleteAt uint64
+	Version    uint64
+	CompleteAt common.Revision
 	// Rules is the number of rules in force, Changes the changes of endpoint states.
 	Rules   int
 	Changes []EndpointChange
@@ -208,24 +211,18 @@
 	defer c.mu.Unlock()
 	now := c.clock()
 	var applied ApplyResult
-	if provenance.FromStore && c.HasConfiguration() && now-time.Duration(c.confirmedAt.Load()) > c.outageAge {
-		provenance.RecoveredAt = now
-	}
-	// Peers report the same recovery at slightly different times, depending on how long
-	// their responses took.
-	if provenance.RecoveredAt > time.Duration(c.recoveredAt.Load())+recoverySlack {
-		applied.StoreRecovered = true
-		c.recoveredAt.Store(int64(provenance.RecoveredAt))
-	}
+	previous, previouslyComplete := c.currentView.Load().Version(), c.catalog.CompleteAt()
 	applied.Changed, applied.Usable = c.catalog.Apply(u, now)
-	if !applied.Usable {
-		return applied
+	if applied.Usable {
+		if !previouslyComplete.IsZero() && u.CompleteAt.Era > previouslyComplete.Era {
+			applied.RestoredFrom = previouslyComplete
+		}
+		applied.StoreRecovered = c.recordRecovery(provenance, !applied.RestoredFrom.IsZero(), now)
+		c.confirmedAt.Store(max(c.confirmedAt.Load(), int64(provenance.ConfirmedAt)))
 	}
-	previous := c.currentView.Load().Version()
 	if c.catalog.Prune(c.flowLifetime, now) > 0 || applied.Changed {
 		applied.Changes = c.publish(now)
 	}
-	c.confirmedAt.Store(max(c.confirmedAt.Load(), int64(provenance.ConfirmedAt)))
 	applied.Version, applied.CompleteAt = c.currentView.Load().Version(), c.catalog.CompleteAt()
 	applied.NewVersion = applied.Version != previous
 	if conf := c.catalog.Configuration(); conf != nil {
@@ -234,40 +231,70 @@
 	return applied
 }
 
+// recordRecovery records the recovery of the store from an outage or its restore, and
+// reports whether the update shows one. The caller holds mu.
+func (c *Cache) recordRecovery(provenance Provenance, restored bool, now time.Duration) bool {
+	at := provenance.RecoveredAt
+	outage := c.HasConfiguration() && now-time.Duration(c.confirmedAt.Load()) > c.outageAge
+	if provenance.FromStore && (outage || restored) || restored && at == 0 {
+		at = now
+	}
+	// Peers report the same recovery at slightly different times, depending on how long
+	// their responses took.
+	if at <= time.Duration(c.recoveredAt.Load())+recoverySlack {
+		return false
+	}
+	c.recoveredAt.Store(int64(at))
+	return true
+}
+
 // RequiresFull reports whether a difference since a revision must contain all
 // endpoints, and returns the number of endpoints.
-func (c *Cache) RequiresFull(since uint64) (endpoints int, full bool) {
+func (c *Cache) RequiresFull(since common.Revision) (endpoints int, full bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.catalog.Len(), c.catalog.RequiresFull(since)
 }
 
-// Difference returns the changes since two revisions, when the store last confirmed the
-// cached state, and when the store last recovered from an outage.
-func (c *Cache) Difference(configurationRevision, since uint64) (u directory.Update, confirmedAt, recoveredAt time.Duration) {
+// Difference returns the changes since a configuration and a revision, when the store
+// last confirmed the cached state, and when it last recovered from an outage.
+func (c *Cache) Difference(configuration directory.ConfigurationID, since common.Revision) (u directory.Update, confirmedAt, recoveredAt time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.catalog.Difference(configurationRevision, since), time.Duration(c.confirmedAt.Load()), time.Duration(c.recoveredAt.Load())
+	return c.catalog.Difference(configuration, since), time.Duration(c.confirmedAt.Load()), time.Duration(c.recoveredAt.Load())
 }
 
-// EndGracePeriod removes the endpoints that the store has not listed again within
-// recoveryGrace after its recovery. It returns the time of the next call, 0 if none is
-// needed, and the changes of endpoint states.
-func (c *Cache) EndGracePeriod() (next time.Duration, changes []EndpointChange) {
+// EndGracePeriods removes the endpoints that the store has not listed again within
+// recoveryGrace after its recovery, and adopts the entries that it still lists some time
+// after it was restored. It returns the time of the next call, 0 if none is needed, and
+// the changes of endpoint states.
+func (c *Cache) EndGracePeriods() (next time.Duration, changes []EndpointChange) {
 	now := c.clock()
-	recoveredAt := time.Duration(c.recoveredAt.Load())
-	end := recoveredAt + recoveryGrace
-	if recoveredAt > 0 && now < end {
-		return end, nil
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	adopted := c.catalog.AdoptDeferred(now)
+	next = c.catalog.RestoreGraceEnd()
+	recoveredAt := time.Duration(c.recoveredAt.Load())
+	if end := recoveredAt + recoveryGrace; recoveredAt > 0 && now < end {
+		next = end
+	} else if c.hasGoneEndpoint() {
+		adopted = true
+	}
+	if adopted {
+		changes = c.publish(now)
+	}
+	return next, changes
+}
+
+// hasGoneEndpoint reports whether an endpoint is missing that the view still contains as
+// listed. The caller holds mu.
+func (c *Cache) hasGoneEndpoint() bool {
 	for _, record := range c.catalog.Records() {
 		if record.Missing() && c.unlisted[record.Endpoint.Name] == nil {
-			return 0, c.publish(now)
+			return true
 		}
 	}
-	return 0, nil
+	return false
 }
 
 // inRecoveryGrace reports whether the entry of a missing endpoint may only have expired
--- a/internal/discovery/convert.go
+++ b/internal/discovery/convert.go
@@ -16,6 +16,23 @@
 	"burdockrelay.example/burdockrelay/proto/syncpb"
 )
 
+// setCached sets the fields of a request that identify the content of the cache.
+func setCached(request *syncpb.FetchRequest, cache *Cache) {
+	at, configuration := cache.CompleteAt()
+	request.EndpointsEra, request.EndpointsRevision = at.Era, at.Number
+	request.ConfigurationVersion = configuration.Version
+	request.ConfigurationEra, request.ConfigurationRevision = configuration.Revision.Era, configuration.Revision.Number
+}
+
+// cachedByAsker returns what the cache of the sender of a request contains.
+func cachedByAsker(request *syncpb.FetchRequest) (configuration directory.ConfigurationID, at common.Revision) {
+	configuration = directory.ConfigurationID{
+		Version:  request.ConfigurationVersion,
+		Revision: common.Revision{Era: request.ConfigurationEra, Number: request.ConfigurationRevision},
+	}
+	return configuration, common.Revision{Era: request.EndpointsEra, Number: request.EndpointsRevision}
+}
+
 func addressToWire(address netip.Addr) uint32 {
 	octets := address.As4()
 	return binary.BigEndian.Uint32(octets[:])
@@ -66,7 +83,7 @@
 
 func configurationToWire(c *directory.Configuration) *syncpb.Configuration {
 	wire := &syncpb.Configuration{
-		Version: c.Version, Revision: c.Revision, IdleTimeoutMs: uint64(c.IdleTimeout.Milliseconds()),
+		Version: c.Version, Revision: c.Revision.Number, Era: c.Revision.Era, IdleTimeoutMs: uint64(c.IdleTimeout.Milliseconds()),
 	}
 	for _, rule := range c.Rules {
 		wireRule := &syncpb.Rule{
@@ -89,7 +106,7 @@
 
 func configurationFromWire(wire *syncpb.Configuration) *directory.Configuration {
 	c := &directory.Configuration{
-		Version: wire.Version, Revision: wire.Revision,
+		Version: wire.Version, Revision: common.Revision{Era: wire.Era, Number: wire.Revision},
 		IdleTimeout: time.Duration(wire.IdleTimeoutMs) * time.Millisecond,
 	}
 	for _, wireRule := range wire.Rules {
@@ -121,7 +138,8 @@
 		Address: addressToWire(r.Endpoint.Address.Addr()), Port: uint32(r.Endpoint.Address.Port()),
 		DataCentre: r.Endpoint.DataCentre, Slots: r.Endpoint.Slots, Draining: r.Endpoint.Draining,
 		WarmUpMs: uint64(r.Endpoint.WarmUp.Milliseconds()), Born: uint64(r.Endpoint.StartedAt),
-		Revision: r.Endpoint.Revision, MissingAt: r.MissingAt,
+		Sequence: r.Endpoint.Sequence, Revision: r.Endpoint.Revision.Number, Era: r.Endpoint.Revision.Era,
+		MissingAt: r.MissingAt.Number, MissingEra: r.MissingAt.Era,
 	}
 	if r.Missing() {
 		wire.MissingUs = uint64(max(now-r.MissingSince, 0).Microseconds())
@@ -136,9 +154,9 @@
 			Address:    netip.AddrPortFrom(addressFromWire(wire.Address), uint16(wire.Port)),
 			DataCentre: wire.DataCentre, Slots: wire.Slots, Draining: wire.Draining,
 			WarmUp: time.Duration(wire.WarmUpMs) * time.Millisecond, StartedAt: int64(wire.Born),
-			Revision: wire.Revision,
+			Sequence: wire.Sequence, Revision: common.Revision{Era: wire.Era, Number: wire.Revision},
 		},
-		MissingAt: wire.MissingAt,
+		MissingAt: common.Revision{Era: wire.MissingEra, Number: wire.MissingAt},
 	}
 	if r.Missing() {
 		r.MissingSince = now - time.Duration(wire.MissingUs)*time.Microsecond
--- a/internal/discovery/metrics.go
+++ b/internal/discovery/metrics.go
@@ -54,9 +54,13 @@
 			_, fresh := cache.Current(now)
 			return fresh.Age.Seconds()
 		}),
-		gauge("burdock_knowledge_revision", "Revision of the store that the instance knows.", func() float64 {
+		gauge("burdock_knowledge_revision", "Revision of the store, within its era, that the instance knows.", func() float64 {
 			at, _ := cache.CompleteAt()
-			return float64(at)
+			return float64(at.Number)
+		}),
+		gauge("burdock_knowledge_era", "Era of the store that the instance knows.", func() float64 {
+			at, _ := cache.CompleteAt()
+			return float64(at.Era)
 		}),
 		gauge("burdock_configuration_version", "Version of the configuration in force.", func() float64 {
 			view, _ := cache.Current(cache.Now())
--- a/internal/discovery/reads.go
+++ b/internal/discovery/reads.go
@@ -125,7 +125,7 @@
 func (r *read) fetch(ctx context.Context) (update directory.Update, incomplete bool, err error) {
 	s := r.syncer
 	at, _ := s.cache.CompleteAt()
-	if at == 0 {
+	if at.IsZero() {
 		update, err = s.source.Snapshot(ctx, r.proceed)
 		return update, false, err
 	}
@@ -134,23 +134,29 @@
 	if err != nil {
 		return update, false, err
 	}
-	if r.revision.Number <= at {
+	switch {
+	case r.revision == at:
 		return directory.Update{Since: at, CompleteAt: at}, false, nil
+	case at.After(r.revision):
+		return update, false, resultcode.Errorf(resultcode.PlatformBadAnswer, "the store went back from revision %v to %v", at, r.revision)
+	case r.revision.Era != at.Era:
+		update, err = s.source.Snapshot(ctx, r.proceed)
+		return update, false, err
 	}
 	if !r.full {
 		took := s.cache.Now() - startedAt
 		update, err = s.changes(ctx, max(changesTimeoutFactor*took, minChangesTimeout), at)
-		if err == nil && update.CompleteAt >= r.revision.Number {
+		if err == nil && !r.revision.After(update.CompleteAt) {
 			return update, false, nil
 		}
-		s.logger.Info("changes_incomplete", zap.Uint64("since", at), zap.Stringer("revision", r.revision),
-			zap.Uint64("at", update.CompleteAt), zap.Error(err))
+		s.logger.Info("changes_incomplete", zap.Stringer("since", at), zap.Stringer("revision", r.revision),
+			zap.Stringer("at", update.CompleteAt), zap.Error(err))
 	}
 	update, err = s.source.Snapshot(ctx, r.proceed)
 	return update, !r.full, err
 }
 
-func (s *Syncer) changes(ctx context.Context, timeout time.Duration, since uint64) (directory.Update, error) {
+func (s *Syncer) changes(ctx context.Context, timeout time.Duration, since common.Revision) (directory.Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return s.source.Changes(ctx, since)
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"burdockrelay.example/burdockrelay/common"
 	"burdockrelay.example/burdockrelay/internal/objectstore"
 	"burdockrelay.example/burdockrelay/internal/resultcode"
 	"burdockrelay.example/burdockrelay/proto/syncpb"
@@ -49,7 +50,7 @@
 
 // observation is a revision of a registration and when it was first observed.
 type observation struct {
-	revision uint64
+	revision common.Revision
 	at       time.Duration
 }
 
@@ -197,6 +198,6 @@
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	err := r.Store.Delete(ctx, object.Kind, object.Name, object.Revision)
-	r.Logger.Info("registration_removed", zap.String("peer", object.Name), zap.Uint64("revision", object.Revision),
+	r.Logger.Info("registration_removed", zap.String("peer", object.Name), zap.Stringer("revision", object.Revision),
 		zap.Duration("unchanged", unchanged), zap.Error(err))
 }
--- a/internal/discovery/registry_test.go
+++ b/internal/discovery/registry_test.go
@@ -45,7 +45,7 @@
 func (s *memoryStore) put(o objectstore.Object) objectstore.Object {
 	s.revision++
 	s.writes++
-	o.Revision = s.revision
+	o.Revision = common.Revision{Number: s.revision}
 	s.objects[o.Name] = o
 	return o
 }
@@ -68,7 +68,7 @@
 	return s.put(o), nil
 }
 
-func (s *memoryStore) Delete(_ context.Context, _, name string, revision uint64) error {
+func (s *memoryStore) Delete(_ context.Context, _, name string, revision common.Revision) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.objects[name].Revision != revision {
--- a/internal/discovery/server.go
+++ b/internal/discovery/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"burdockrelay.example/burdockrelay/common"
 	"burdockrelay.example/burdockrelay/internal/directory"
 	"burdockrelay.example/burdockrelay/internal/resultcode"
 	"burdockrelay.example/burdockrelay/proto/syncpb"
@@ -30,9 +31,9 @@
 	mu sync.Mutex
 	// nextFullAt is the time from which the next full response may be sent.
 	nextFullAt time.Duration
-	// encoded is the last configuration sent, which has the revision encodedRevision.
-	encoded         []byte
-	encodedRevision uint64
+	// encoded is the encoding of lastSent, the last configuration sent.
+	encoded  []byte
+	lastSent *directory.Configuration
 }
 
 var _ syncpb.Sync = (*Server)(nil)
@@ -50,12 +51,13 @@
 		s.AddPeers(ctx, request.Asker)
 	}
 	now := s.Cache.Now()
-	if endpoints, full := s.Cache.RequiresFull(request.EndpointsRevision); full && !s.allowFull(now, endpoints) {
+	configurationID, since := cachedByAsker(request)
+	if endpoints, full := s.Cache.RequiresFull(since); full && !s.allowFull(now, endpoints) {
 		// The peer then queries another instance.
 		s.Metrics.deferred.Inc()
 		return &syncpb.FetchResponse{Peers: s.Peers.Sample(now)}, nil
 	}
-	update, confirmedAt, recoveredAt := s.Cache.Difference(request.ConfigurationRevision, request.EndpointsRevision)
+	update, confirmedAt, recoveredAt := s.Cache.Difference(configurationID, since)
 	configuration, err := s.encode(update.Configuration)
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
@@ -65,8 +67,10 @@
 		Reads:             s.ReadsStore(),
 		AgeUs:             uint64(max(now-confirmedAt, 0).Microseconds()),
 		Configuration:     configuration,
-		EndpointsRevision: update.CompleteAt,
-		SinceRevision:     update.Since,
+		EndpointsRevision: update.CompleteAt.Number,
+		EndpointsEra:      update.CompleteAt.Era,
+		SinceRevision:     update.Since.Number,
+		SinceEra:          update.Since.Era,
 		Full:              update.Full,
 	}
 	if recoveredAt > 0 {
@@ -100,21 +104,23 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.encodedRevision == c.Revision {
+	if s.lastSent == c {
 		return s.encoded, nil
 	}
 	encoded, err := encodeConfiguration(c)
 	if err != nil {
 		return nil, err
 	}
-	s.encoded, s.encodedRevision = encoded, c.Revision
+	s.encoded, s.lastSent = encoded, c
 	return encoded, nil
 }
 
 // updateFromWire decodes the update in a response. The error has code PeerBadDatagram.
 func updateFromWire(response *syncpb.FetchResponse, now time.Duration) (directory.Update, error) {
 	update := directory.Update{
-		Since: response.SinceRevision, CompleteAt: response.EndpointsRevision, Full: response.Full,
+		Since:      common.Revision{Era: response.SinceEra, Number: response.SinceRevision},
+		CompleteAt: common.Revision{Era: response.EndpointsEra, Number: response.EndpointsRevision},
+		Full:       response.Full,
 	}
 	if len(response.Configuration) > 0 {
 		configuration, err := decodeConfiguration(response.Configuration)
--- a/internal/discovery/syncer.go
+++ b/internal/discovery/syncer.go
@@ -24,10 +24,10 @@
 	// each page of a list after the first, possibly concurrently for two lists. An
 	// error of proceed ends the read.
 	Snapshot(ctx context.Context, proceed func(context.Context) error) (directory.Update, error)
-	// Changes returns the changes after a revision. It may be incomplete while the
-	// store discards its history: CompleteAt of the update is then below the revision
-	// that Revision returned.
-	Changes(ctx context.Context, since uint64) (directory.Update, error)
+	// Changes returns the changes after a revision of the same era. It may be
+	// incomplete while the store discards its history: CompleteAt of the update is then
+	// below the revision that Revision returned.
+	Changes(ctx context.Context, since common.Revision) (directory.Update, error)
 }
 
 const (
@@ -67,8 +67,6 @@
 	// fullReadsUntil is the time until which snapshots are read instead of changes.
 	fullReadsUntil time.Duration
 	storeUp        bool
-	// lastRead is the revision of the store at the last read of it, zero before that.
-	lastRead common.Revision
 	// readsStore is set while this instance reads the store.
 	readsStore atomic.Bool
 	// lastPrune is when expired peers were last removed.
@@ -104,7 +102,7 @@
 		s.readsStore.Store(s.scheduler.ReadsStore(now))
 		s.start(ctx, step)
 		wake := min(step.Wake, querySeeds)
-		graceEnd, changes := s.cache.EndGracePeriod()
+		graceEnd, changes := s.cache.EndGracePeriods()
 		if graceEnd != 0 {
 			wake = min(wake, graceEnd)
 		}
@@ -163,29 +161,20 @@
 	s.logger.Warn("store_lost", zap.Uint32("result_code", uint32(code)), zap.Duration("took", took), age, zap.Error(err))
 }
 
-// logStoreRevision logs the revision of the store at a read, and whether the store has
-// been restored from a copy since the last one.
+// logStoreRevision logs the revision of the store at a read.
 func (s *Syncer) logStoreRevision(revision common.Revision) {
 	if revision.IsZero() {
 		return
 	}
 	cached, _ := s.cache.CompleteAt()
-	s.logger.Debug("store_read", zap.Stringer("revision", revision), zap.Uint64("cached_revision", cached))
-	if !s.lastRead.IsZero() && revision.Era != s.lastRead.Era {
-		s.logger.Warn("store_restored", zap.Stringer("from_revision", s.lastRead), zap.Stringer("revision", revision),
-			zap.Uint64("cached_revision", cached))
-	}
-	s.lastRead = revision
+	s.logger.Debug("store_read", zap.Stringer("revision", revision), zap.Stringer("cached_revision", cached))
 	s.metrics.storeRevision(revision)
 }
 
 // query sends one query to a peer.
 func (s *Syncer) query(ctx context.Context, name string, address netip.AddrPort) {
-	at, configurationRevision := s.cache.CompleteAt()
-	request := &syncpb.FetchRequest{
-		Asker: s.peers.Self(), ConfigurationRevision: configurationRevision,
-		EndpointsRevision: at, PeersHash: s.peers.Hash(),
-	}
+	request := &syncpb.FetchRequest{Asker: s.peers.Self(), PeersHash: s.peers.Hash()}
+	setCached(request, s.cache)
 	queried := s.cache.Now()
 	response, err := s.client.Load().fetch(ctx, address, request)
 	s.post(ctx, func() { s.handleResponse(name, response, err, queried) })
@@ -208,7 +197,12 @@
 		s.scheduler.QueryDone(now, name, freshness.Empty, 0)
 		return
 	}
-	s.scheduler.QueryDone(now, name, s.scheduler.Classify(response.Reads, age), age)
+	result := s.scheduler.Classify(response.Reads, age)
+	if cached, _ := s.cache.CompleteAt(); response.EndpointsEra < cached.Era {
+		// The peer has not noticed yet that the store was restored.
+		result = freshness.Stale
+	}
+	s.scheduler.QueryDone(now, name, result, age)
 	provenance := Provenance{ConfirmedAt: queried - age}
 	if response.ReturnedUs > 0 {
 		provenance.RecoveredAt = queried - time.Duration(response.ReturnedUs)*time.Microsecond
@@ -223,20 +217,28 @@
 
 func (s *Syncer) apply(update directory.Update, provenance Provenance, from string) {
 	applied := s.cache.Apply(&update, provenance)
+	if !applied.RestoredFrom.IsZero() {
+		s.logger.Warn("store_restored", zap.String("from", from), zap.Stringer("last_revision", applied.RestoredFrom),
+			zap.Stringer("revision", applied.CompleteAt))
+	}
+	if c := update.Configuration; c != nil && c.Version < applied.Version {
+		s.logger.Warn("configuration_outdated", zap.String("from", from), zap.Stringer("revision", c.Revision),
+			zap.Uint64("version", c.Version), zap.Uint64("version_in_force", applied.Version))
+	}
 	if !applied.Usable {
-		s.logger.Info("update_unusable", zap.String("from", from), zap.Uint64("since", update.Since), zap.Uint64("at", update.CompleteAt))
+		s.logger.Info("update_unusable", zap.String("from", from), zap.Stringer("since", update.Since), zap.Stringer("at", update.CompleteAt))
 		return
 	}
 	if s.cache.HasConfiguration() {
 		s.scheduler.Confirm(provenance.ConfirmedAt)
 	}
 	if applied.StoreRecovered {
-		s.logger.Info("knowledge_regained", zap.String("from", from), zap.Uint64("revision", applied.CompleteAt))
+		s.logger.Info("knowledge_regained", zap.String("from", from), zap.Stringer("revision", applied.CompleteAt))
 	}
 	age := s.cache.Now() - provenance.ConfirmedAt
 	if applied.NewVersion {
 		s.logger.Info("configuration_in_force", zap.String("from", from), zap.Uint64("version", applied.Version),
-			zap.Uint64("revision", applied.CompleteAt), zap.Int("rules", applied.Rules), zap.Int64("age_ms", age.Milliseconds()))
+			zap.Stringer("revision", applied.CompleteAt), zap.Int("rules", applied.Rules), zap.Int64("age_ms", age.Milliseconds()))
 	}
 	s.logChanges(applied.Changes, from, age)
 }
@@ -254,7 +256,7 @@
 		c := &changes[i]
 		s.logger.Info("endpoint_changed", zap.String("endpoint", c.Endpoint.Name), zap.String("service", c.Endpoint.Service),
 			zap.String("data_centre", c.Endpoint.DataCentre), zap.Stringer("was", c.From), zap.Stringer("is", c.To),
-			zap.Uint64("revision", c.Endpoint.Revision), zap.String("from", from), zap.Int64("age_ms", age.Milliseconds()))
+			zap.Stringer("revision", c.Endpoint.Revision), zap.String("from", from), zap.Int64("age_ms", age.Milliseconds()))
 	}
 }
 
--- a/internal/objectstore/objectstore.go
+++ b/internal/objectstore/objectstore.go
@@ -7,14 +7,16 @@
 	"time"
 
 	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
 )
 
 // Object is one object with its encoded content.
 type Object struct {
 	Kind string
 	Name string
-	// Revision is the store revision of the object's last change.
-	Revision uint64
+	// Revision is the store revision of the object's last change, in the era in which
+	// the object was read.
+	Revision common.Revision
 	Content  []byte
 }
 
@@ -28,7 +30,8 @@
 }
 
 // ListAll reads all pages of a list. The function list returns the page after a name.
-// The list is complete at the revision of the first page, which ListAll returns in at.
+// The list is complete at the revision of the first page, which ListAll returns in at. If
+// the store is restored between two pages, it returns an error with code PlatformExpired.
 func ListAll(list func(after string) (Page, error)) (objects []Object, at common.Revision, err error) {
 	after := ""
 	for {
@@ -39,6 +42,9 @@
 		if at.IsZero() {
 			at = page.Revision
 		}
+		if page.Revision.Era != at.Era {
+			return nil, common.Revision{}, RestoredError(at, page.Revision)
+		}
 		objects = append(objects, page.Objects...)
 		if !page.More || len(page.Objects) == 0 {
 			return objects, at, nil
@@ -47,6 +53,12 @@
 	}
 }
 
+// RestoredError returns the error of a read of several parts during which the store was
+// restored from a copy, so that the parts do not belong together.
+func RestoredError(first, later common.Revision) error {
+	return resultcode.Errorf(resultcode.PlatformExpired, "the store was restored between revisions %v and %v", first, later)
+}
+
 // Event is one change or deletion of an object.
 type Event struct {
 	Object  Object
@@ -72,12 +84,13 @@
 	// existing one and an error with code PlatformExists.
 	Create(ctx context.Context, object Object) (Object, error)
 	// Update replaces an object if the stored one still has the revision of the given
-	// one. Revision 0 replaces unconditionally.
+	// one. The zero revision replaces unconditionally.
 	Update(ctx context.Context, object Object) (Object, error)
-	// Delete removes an object if it still has the revision. Revision 0 removes
+	// Delete removes an object if it still has the revision. The zero revision removes
 	// unconditionally.
-	Delete(ctx context.Context, kind, name string, revision uint64) error
+	Delete(ctx context.Context, kind, name string, revision common.Revision) error
 	// Watch returns the changes after a revision. If there are none, it waits for
-	// them at most for the duration wait.
-	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (Changes, error)
+	// them at most for the duration wait. If the revision is of an earlier era, it
+	// returns an error with code PlatformExpired.
+	Watch(ctx context.Context, kind string, after common.Revision, wait time.Duration) (Changes, error)
 }
--- a/standins/testbed/discovery_test.go
+++ b/standins/testbed/discovery_test.go
@@ -118,7 +118,12 @@
 }
 
 func register(store *testbed.Store, id int, state string) {
-	store.Put("servers", fmt.Sprintf("i-%x", id), fmt.Appendf(nil, `{"service":"desk","address":"127.0.%d.%d:8080","zone":"fukuoka","version":"v1","max_concurrency":2,"state":%q,"warmup_left_ms":0,"sequence":1,"born":%d}`, 2+id>>8, id&255, state, id))
+	store.Put("servers", fmt.Sprintf("i-%x", id), record(id, state, 1))
+}
+
+// record returns the record of an endpoint.
+func record(id int, state string, sequence int) []byte {
+	return fmt.Appendf(nil, `{"service":"desk","address":"127.0.%d.%d:8080","zone":"fukuoka","version":"v1","max_concurrency":2,"state":%q,"warmup_left_ms":0,"sequence":%d,"born":%d}`, 2+id>>8, id&255, state, sequence, id)
 }
 
 // endpointCount returns the number of endpoints available to new flows.
@@ -289,7 +294,7 @@
 		store.Remove("servers", fmt.Sprintf("i-%x", id+1))
 	}
 	n.storeServer.SetFaults(testbed.Faults{})
-	within(t, 2*applyDeadline, "store recovery", func() bool { at, _ := n.cache.CompleteAt(); return at == store.Revision() })
+	within(t, 2*applyDeadline, "store recovery", func() bool { at, _ := n.cache.CompleteAt(); return at.Number == store.Revision() })
 	if got := n.endpointCount(); got != 3 {
 		t.Errorf("%d endpoints after store recovery, want 3", got)
 	}
--- a/standins/testbed/endpoint.go
+++ b/standins/testbed/endpoint.go
@@ -97,7 +97,7 @@
 // Name returns the endpoint's name.
 func (e *Endpoint) Name() string { return e.settings.Name }
 
-// Register writes the endpoint's record to the store.
+// Register writes the endpoint's record to the store, as a heartbeat does.
 func (e *Endpoint) Register() {
 	e.mu.Lock()
 	state := "ready"
@@ -107,14 +107,14 @@
 	e.sequence++
 	record := map[string]any{
 		"service": e.settings.Service, "address": e.settings.Address.String(), "zone": e.settings.DataCentre, "version": "v1",
-		"max_concurrency": slots, "state": state, "warmup_left_ms": 0, "sequence": 1, "born": e.startedAt,
+		"max_concurrency": slots, "state": state, "warmup_left_ms": 0, "sequence": e.sequence, "born": e.startedAt,
 	}
 	e.mu.Unlock()
 	content, err := json.Marshal(record)
 	if err != nil {
 		panic(err)
 	}
-	e.store.Put("servers", e.settings.Name, content)
+	e.store.Heartbeat(e.settings.Name, content)
 }
 
 // Drain registers the endpoint as draining. It continues to serve requests.
--- a/standins/testbed/store.go
+++ b/standins/testbed/store.go
@@ -78,6 +78,30 @@
 	return s.revision
 }
 
+// Heartbeat writes the record of an endpoint. A record that differs only in its sequence
+// number leaves the object unchanged.
+func (s *Store) Heartbeat(name string, record json.RawMessage) {
+	s.mu.Lock()
+	current, exists := s.objects[endpointKind][name]
+	s.mu.Unlock()
+	if !exists || !sameWithoutSequence(current.Spec, record) {
+		s.Put(endpointKind, name, record)
+	}
+}
+
+// endpointKind is the kind of the records of endpoints.
+const endpointKind = "servers"
+
+func sameWithoutSequence(a, b json.RawMessage) bool {
+	var left, right map[string]any
+	if json.Unmarshal(a, &left) != nil || json.Unmarshal(b, &right) != nil {
+		return false
+	}
+	delete(left, "sequence")
+	delete(right, "sequence")
+	return maps.Equal(left, right)
+}
+
 // Remove deletes an object if it exists.
 func (s *Store) Remove(kind, name string) {
 	s.mu.Lock()
