Register an instance again after a restore of the store

What happened: a copy of the store may lack the registration of an instance that started after the copy was made. It was written again with the next renewal only, up to six hours later. Until then instances that start with stale seeds could not find it. Callers notice nothing as long as one seed or peer answers.

Evidence: TestRegistrationLostInRestoreIsWrittenAgain failed on the code before (no second registration within 4 s) and passes now.

The instances notice a restore at about the same time, so they spread their calls over a time that grows with their number.

--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -42,6 +43,9 @@
 	Peers *Peers
 	// OnPeers is called with the instances that are registered in the store.
 	OnPeers func(ctx context.Context, peers ...*syncpb.Peer)
+	// Restores receives a value after a restore of the store, which may have lost the
+	// registration.
+	Restores <-chan struct{}
 
 	renewals uint64
 	// lastSeen holds the last observed change of each registration, by instance name.
@@ -64,11 +68,14 @@
 	registerDelay = 300 * time.Millisecond
 	// registerTimeout limits the duration of one operation on the store.
 	registerTimeout = 2 * time.Second
+	// restoredPerSecond is the rate at which all instances together write their
+	// registrations again after a restore. It is a fraction of the store's limits.
+	restoredPerSecond = 100
 )
 
 // Run registers the instance, reads the registrations of others while it knows no
-// peers, and renews its registration at intervals until the context ends. It retries
-// after errors.
+// peers, and renews its registration at intervals and after a restore of the store until
+// the context ends. It retries after errors.
 func (r *Registry) Run(ctx context.Context) error {
 	if !objectstore.Sleep(ctx, registerDelay) {
 		return nil
@@ -84,17 +91,41 @@
 	if interval == 0 {
 		interval = defaultRenewInterval
 	}
-	for objectstore.Sleep(ctx, interval) {
-		r.renewals++
-		r.retry(ctx, func() error {
-			err := r.register(ctx)
-			if err == nil && r.ReadsStore() {
-				err = r.removeExpired(ctx, expiryIntervals*interval)
-			}
-			return err
-		})
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			r.renew(ctx, interval)
+		case <-r.Restores:
+			r.registerAfterRestore(ctx)
+		}
+	}
+}
+
+// renew renews the registration, and removes those that have not been renewed for
+// expiryIntervals.
+func (r *Registry) renew(ctx context.Context, interval time.Duration) {
+	r.renewals++
+	r.retry(ctx, func() error {
+		err := r.register(ctx)
+		if err == nil && r.ReadsStore() {
+			err = r.removeExpired(ctx, expiryIntervals*interval)
+		}
+		return err
+	})
+}
+
+// registerAfterRestore writes the registration again if the store has lost it. The
+// instances spread their calls, because all of them notice a restore at about the same
+// time.
+func (r *Registry) registerAfterRestore(ctx context.Context) {
+	spread := time.Duration(1+r.Peers.Count()) * time.Second / restoredPerSecond
+	if objectstore.Sleep(ctx, rand.N(spread)) {
+		r.retry(ctx, func() error { return r.register(ctx) })
 	}
-	return nil
 }
 
 func (r *Registry) retry(ctx context.Context, operation func() error) {
--- a/internal/discovery/syncer.go
+++ b/internal/discovery/syncer.go
@@ -60,6 +60,8 @@
 	logger    *zap.Logger
 
 	events chan func()
+	// restores holds a value if the store was restored since it was last received.
+	restores chan struct{}
 	// activeReads is the number of reads in progress. longReadActive is set while one
 	// of them reads a long list.
 	activeReads    int
@@ -84,7 +86,7 @@
 		scheduler: freshness.NewScheduler(self, freshness.SettingsFor(applyDeadline)),
 		cache:     cache, peers: peers, source: source,
 		metrics: metrics, logger: logger,
-		events: make(chan func(), 64), storeUp: true, seedsQueriedAt: -seedInterval,
+		events: make(chan func(), 64), restores: make(chan struct{}, 1), storeUp: true, seedsQueriedAt: -seedInterval,
 	}
 	s.client.Store(newPeerClient(applyDeadline / peerTimeoutDivisor))
 	return s
@@ -220,6 +222,7 @@
 	if !applied.RestoredFrom.IsZero() {
 		s.logger.Warn("store_restored", zap.String("from", from), zap.Stringer("last_revision", applied.RestoredFrom),
 			zap.Stringer("revision", applied.CompleteAt))
+		s.notifyRestore()
 	}
 	if c := update.Configuration; c != nil && c.Version < applied.Version {
 		s.logger.Warn("configuration_outdated", zap.String("from", from), zap.Stringer("revision", c.Revision),
@@ -243,6 +246,17 @@
 	s.logChanges(applied.Changes, from, age)
 }
 
+func (s *Syncer) notifyRestore() {
+	select {
+	case s.restores <- struct{}{}:
+	default:
+	}
+}
+
+// Restores returns a channel that receives a value after one or more restores of the
+// store.
+func (s *Syncer) Restores() <-chan struct{} { return s.restores }
+
 // maxChangesLogged limits the log lines for one update.
 const maxChangesLogged = 64
 
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -119,6 +119,7 @@
 	instanceRegistry := &discovery.Registry{
 		Store: adapter.Store, Self: self, Logger: logger, Now: i.cache.Now,
 		ReadsStore: i.syncer.ReadsStore, Peers: peers, OnPeers: i.syncer.AddPeers,
+		Restores: i.syncer.Restores(),
 	}
 	jobs := []func() error{
 		func() error { return peerServer.Serve(ctx, listeners.peer) },
--- a/standins/testbed/discovery_test.go
+++ b/standins/testbed/discovery_test.go
@@ -65,7 +65,7 @@
 		syncer.AddPeers(ctx, peers...)
 	}
 	server := &discovery.Server{Cache: n.cache, Peers: n.peers, ReadsStore: syncer.ReadsStore, AddPeers: addPeers, Metrics: metrics}
-	registry := &discovery.Registry{Store: client, Self: self, Peers: n.peers, Logger: zap.NewNop(), OnPeers: syncer.AddPeers}
+	registry := &discovery.Registry{Store: client, Self: self, Peers: n.peers, Logger: zap.NewNop(), OnPeers: syncer.AddPeers, Restores: syncer.Restores()}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 3)
 	for _, run := range []func() error{
--- a/standins/testbed/restore_test.go
+++ b/standins/testbed/restore_test.go
@@ -149,3 +149,17 @@
 	register(store, 3, "ready")
 	within(t, 4*time.Second, "removal of the endpoint that did not register again", func() bool { return n.endpointCount() == 3 })
 }
+
+// Guards against an instance that others cannot find in the store for hours, because the
+// copy lacks its registration.
+func TestRegistrationLostInRestoreIsWrittenAgain(t *testing.T) {
+	t.Parallel()
+	store := storeWithEndpoints(1)
+	backup := store.Copy()
+	first := startNode(t, store, "entry-1")
+	startNode(t, store, "entry-2", first)
+	registered := func() bool { return len(store.Names("burdock-instances")) == 2 }
+	within(t, 4*time.Second, "registrations", registered)
+	store.Restore(backup)
+	within(t, 4*time.Second, "registrations after the restore", registered)
+}
