Write the accepted release again after a restore of the platform

What operators saw (in the product's own daemons): after the platform had come back with the content of a copy that lacks the accepted release, every publication ended with code 2202, "no acknowledgement in time", and the release in force was missing at the platform for good.

The next release got the number after the platform's older pointer, which is that of a release in force, and instances ignore a release that is not above theirs. Watches resumed at a resource version of the time before the restore, and missed what had been written up to it.

Evidence: TestAcceptedReleaseIsWrittenAgainAfterRestore ("after 10s still not: pointer at the accepted release") and TestPublicationAfterRestore (code 2202) failed before.

Change: the platform's responses carry an era, as the users' store has one; a watch of another era starts with a list. An instance that finds the pointer below the accepted release writes that release again and moves the pointer by conditional updates, before it publishes or as a watcher. Another release with the number of the accepted one is refused at once instead of ignored. The stand-in can be restored.

Why it works: accepted releases are kept by the instances, and numbers and endpoint IDs are assigned after the last accepted one only.

--- a/internal/controller/configuration.go
+++ b/internal/controller/configuration.go
@@ -105,13 +105,6 @@
 	}
 }
 
-// newestAccepted returns the number of the newest accepted release.
-func (c *configurationController) newestAccepted() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.tracker.Accepted().Number
-}
-
 // run loads the accepted and the prepared release and puts the accepted one in
 // force.
 func (c *configurationController) run(ctx context.Context) error {
--- a/internal/controller/configuration_watch.go
+++ b/internal/controller/configuration_watch.go
@@ -90,7 +90,17 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.observeAccepted(release.Ref{Number: spec.Number, Hash: spec.Hash})
+	ref := release.Ref{Number: spec.Number, Hash: spec.Hash}
+	accepted := c.tracker.Accepted()
+	if ref.Number < accepted.Number {
+		// The pointer may have been read before the release was accepted, or the
+		// platform was restored from a copy.
+		signal(c.restoreSignal)
+	}
+	if ref.Number == accepted.Number && !ref.Matches(accepted) && ref.Number > 0 {
+		c.logger.Error("release_number_reused", zap.Uint64("release", ref.Number), zap.String("hash", ref.Hash), zap.String("accepted_hash", accepted.Hash))
+	}
+	c.observeAccepted(ref)
 }
 
 // pointerHandler implements platform.Handler for the collection pointers.
@@ -122,16 +132,21 @@
 
 // Replace implements platform.Handler. It withdraws the prepared release if the list
 // does not contain it. A release that became known after the list was requested may be
-// newer than the list.
+// newer than the list. If the list lacks the accepted release, the platform may have lost
+// it.
 func (h *releaseHandler) Replace(list *platform.List) {
 	h.mu.Lock()
-	prepared := h.tracker.Prepared()
+	prepared, accepted := h.tracker.Prepared(), h.tracker.Accepted()
 	newer := !h.start.Add(h.preparedSince).Before(list.RequestedAt)
 	h.mu.Unlock()
-	found := false
+	found, hasAccepted := false, accepted.Number == 0
 	for i := range list.Items {
 		spec, ok := h.observeRelease(&list.Items[i])
 		found = found || (ok && spec.ref().Matches(prepared))
+		hasAccepted = hasAccepted || (ok && spec.ref().Matches(accepted))
+	}
+	if !hasAccepted {
+		signal(h.restoreSignal)
 	}
 	if !found && !newer && prepared.Number > 0 {
 		h.withdraw(prepared)
@@ -172,9 +187,16 @@
 		return nil, false
 	}
 	c.mu.Lock()
-	inForce := c.tracker.InForce().Number
+	inForce, accepted := c.tracker.InForce().Number, c.tracker.Accepted()
 	c.mu.Unlock()
-	if spec.Number > inForce && spec.Number >= c.newestAccepted() {
+	if accepted.Number > 0 && spec.Number == accepted.Number && !spec.ref().Matches(accepted) {
+		// The publisher does not know the accepted release, because the platform has
+		// lost it. It learns from the refusal that this one cannot be accepted.
+		c.recordLoadResult(&loadedRelease{ref: spec.ref()}, formBody, resultcode.Errorf(resultcode.ReleaseHashMismatch,
+			"another release %d with hash %s was accepted", accepted.Number, accepted.Hash))
+		return &spec, true
+	}
+	if spec.Number > inForce && spec.Number >= accepted.Number {
 		c.loadBody(spec.ref(), spec.Body)
 	}
 	// The release is announced only after it is loaded. An instance that requested
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -75,9 +75,11 @@
 	metrics   *controlMetrics
 
 	// snapshotSignal requests a new snapshot for entryd, fetchSignal the fetch of a
+	// release, and restoreSignal a check whether the platform has lost the accepted
 	// release.
 	snapshotSignal chan struct{}
 	fetchSignal    chan struct{}
+	restoreSignal  chan struct{}
 
 	mu       sync.Mutex
 	machine  *membership.Machine
--- a/internal/controller/fakes_test.go
+++ b/internal/controller/fakes_test.go
@@ -21,7 +21,9 @@
 
 // fakePlatform is an in-memory object API with fault injection.
 type fakePlatform struct {
-	mu          sync.Mutex
+	mu sync.Mutex
+	// era is incremented by each restore.
+	era         uint64
 	version     uint64
 	collections map[string]map[string]*platform.Object
 	events      []fakeEvent
@@ -76,6 +78,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	time.Sleep(delay)
+	f.mu.Lock()
+	w.Header().Set("Storage-Era", strconv.FormatUint(f.era, 10))
+	f.mu.Unlock()
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/apis/"+platform.APIVersion+"/"), "/")
 	name := ""
 	if len(parts) > 1 {
@@ -180,11 +185,18 @@
 
 func (f *fakePlatform) watch(w http.ResponseWriter, r *http.Request, collection string) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("resourceVersion"), 10, 64)
+	f.mu.Lock()
+	era, expired := f.era, after > f.version
+	f.mu.Unlock()
+	if expired {
+		writeJSON(w, http.StatusGone, platform.Failure{Reason: "Expired"})
+		return
+	}
 	w.WriteHeader(http.StatusOK)
 	w.(http.Flusher).Flush()
 	for {
 		f.mu.Lock()
-		if f.down {
+		if f.down || f.era != era {
 			f.mu.Unlock()
 			panic(http.ErrAbortHandler)
 		}
@@ -232,6 +244,55 @@
 	}
 }
 
+// platformCopy is a copy of the content of a fake platform.
+type platformCopy struct {
+	version     uint64
+	collections map[string]map[string]platform.Object
+	events      []fakeEvent
+}
+
+func (f *fakePlatform) copyContent() *platformCopy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := &platformCopy{version: f.version, collections: map[string]map[string]platform.Object{}, events: slices.Clone(f.events)}
+	for collection, objects := range f.collections {
+		c.collections[collection] = map[string]platform.Object{}
+		for name, object := range objects {
+			c.collections[collection][name] = *object
+		}
+	}
+	return c
+}
+
+// restore replaces the content by an earlier copy and ends all watches. Versions are
+// counted from the copy again.
+func (f *fakePlatform) restore(c *platformCopy) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.era++
+	f.version, f.events = c.version, slices.Clone(c.events)
+	f.collections = map[string]map[string]*platform.Object{}
+	for collection, objects := range c.collections {
+		f.collections[collection] = map[string]*platform.Object{}
+		for name, object := range objects {
+			f.collections[collection][name] = &object
+		}
+	}
+	close(f.notify)
+	f.notify = make(chan struct{})
+}
+
+// pointer returns the number of the release that the pointer names.
+func (f *fakePlatform) pointer() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var spec pointerSpec
+	if object := f.collections[platform.Pointers][pointerName]; object != nil {
+		_ = json.Unmarshal(object.Spec, &spec)
+	}
+	return spec.Number
+}
+
 // fakeEntry is an entryd that records the requests it receives.
 type fakeEntry struct {
 	entrypb.Entry
--- a/internal/controller/publication.go
+++ b/internal/controller/publication.go
@@ -81,13 +81,17 @@
 // prepare reads the pointer and builds the release. A result code other than OK
 // ends the publication.
 func (p *activePublication) prepare(ctx context.Context, c *config.Configuration, base uint64, info config.ReleaseInfo) (admin.PublishResult, error) {
-	if err := p.readPointerState(ctx); err != nil {
+	if err := p.restoreAcceptedPointer(ctx); err != nil {
 		return admin.PublishResult{}, err
 	}
 	if err := p.removeAbandoned(ctx); err != nil {
 		return admin.PublishResult{}, err
 	}
 	previous, err := p.readRelease(ctx, p.pointer.spec.Number)
+	if code, _ := resultcode.Of(err); err != nil && code == resultcode.PlatformNotFound {
+		// A restored platform may have lost the release of the pointer.
+		signal(p.restoreSignal)
+	}
 	if err != nil {
 		return admin.PublishResult{}, err
 	}
@@ -115,10 +119,18 @@
 	}
 	p.release = built
 	p.body = body
-	p.state = release.NewPublication(release.Ref{Number: built.Number, Hash: hash, Attempt: p.pointer.spec.Withdrawn})
+	p.state = release.NewPublication(release.Ref{Number: built.Number, Hash: hash, Attempt: p.nextAttempt(built.Number)})
 	return admin.PublishResult{}, nil
 }
 
+// nextAttempt returns the attempt of a new release. The pointer of a restored platform may
+// have lost the withdrawal of releases that instances know of.
+func (p *activePublication) nextAttempt(number uint64) uint32 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.pointer.spec.Withdrawn, p.tracker.NextAttempt(number))
+}
+
 // run executes the steps until the outcome is final or ctx ends.
 func (p *activePublication) run(ctx context.Context) admin.PublishResult {
 	for !p.state.Finished() && ctx.Err() == nil {
--- /dev/null
+++ b/internal/controller/restore_test.go
@@ -0,0 +1,73 @@
+package controller
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"burdockrelay.example/burdockrelay/internal/platform"
+	"burdockrelay.example/burdockrelay/internal/resultcode"
+)
+
+// Guards against a platform that keeps the older pointer of a restored copy: releases
+// would be lost with the last instance that has them, and their numbers given to others.
+func TestAcceptedReleaseIsWrittenAgainAfterRestore(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	c.startAll(3)
+	c.mustPublish(c.daemons[0], "12")
+	backup := c.platform.copyContent()
+	c.mustPublish(c.daemons[1], "13")
+	last := c.mustPublish(c.daemons[2], "14")
+	eventually(t, 10*time.Second, "release everywhere", func() bool { return c.allApplied(last) })
+	c.platform.restore(backup)
+	eventually(t, 10*time.Second, "pointer at the accepted release", func() bool { return c.platform.pointer() == last })
+	if !c.allApplied(last) {
+		t.Error("an instance went back to an older release")
+	}
+}
+
+// Guards against a publication that gets the number of a release that the restored
+// platform has lost: it would never be acknowledged, or two releases of one number would
+// be in force.
+func TestPublicationAfterRestore(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	c.startAll(3)
+	c.mustPublish(c.daemons[0], "12")
+	backup := c.platform.copyContent()
+	last := c.mustPublish(c.daemons[1], "13")
+	eventually(t, 10*time.Second, "release everywhere", func() bool { return c.allApplied(last) })
+	c.platform.restore(backup)
+	next := c.mustPublish(c.daemons[0], "14")
+	if next != last+1 {
+		t.Errorf("release %d after release %d", next, last)
+	}
+	eventually(t, 10*time.Second, "next release everywhere", func() bool { return c.allApplied(next) })
+}
+
+// Guards against two accepted releases of one number: a publisher that does not know the
+// accepted one, because the platform has lost it, must not get acknowledgements.
+func TestReleaseWithNumberOfAcceptedOneIsRefused(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	c.startAll(2)
+	accepted := c.mustPublish(c.daemons[0], "12")
+	eventually(t, 10*time.Second, "release everywhere", func() bool { return c.allApplied(accepted) })
+	spec := releaseSpec{Number: accepted, Hash: strings.Repeat("ab", 32)}
+	object, err := platform.NewObject("Release", fmt.Sprint(accepted), "", &spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	controller := c.daemons[1].controller
+	controller.configuration.observeRelease(object)
+	controller.core.mu.Lock()
+	defer controller.core.mu.Unlock()
+	if ack, _ := controller.core.ackOf(controller.core.self); !ack.Ref.Matches(spec.ref()) || ack.Code != resultcode.ReleaseHashMismatch {
+		t.Errorf("acknowledgement %+v, want a refusal of %+v", ack, spec.ref())
+	}
+	if prepared := controller.core.tracker.Prepared(); prepared.Number != 0 {
+		t.Errorf("prepared release %+v", prepared)
+	}
+}
--- a/internal/decision/release/tracker.go
+++ b/internal/decision/release/tracker.go
@@ -118,6 +118,18 @@
 	}
 }
 
+// NextAttempt returns the lowest attempt with which a new release of a number is newer than
+// the prepared and the withdrawn one.
+func (t *Tracker) NextAttempt(number uint64) uint32 {
+	next := uint32(0)
+	for _, ref := range []Ref{t.prepared, t.withdrawn} {
+		if ref.Number == number {
+			next = max(next, ref.Attempt+1)
+		}
+	}
+	return next
+}
+
 // Pending returns the newest accepted release, and true if it is not in force yet.
 func (t *Tracker) Pending() (Ref, bool) {
 	return t.accepted, t.accepted.Number > t.inForce.Number
--- a/internal/objectstore/client.go
+++ b/internal/objectstore/client.go
@@ -204,22 +204,22 @@
 	return code == resultcode.PlatformUnreachable || code == resultcode.PlatformUncertain
 }
 
-// Follow calls watch repeatedly until the context ends. watch continues from a version,
-// or from the start if the version is empty, and returns the version to resume from.
-// After an error, Follow resumes from that version, or from the start if the store no
+// Follow calls watch repeatedly until the context ends. watch continues from a position,
+// or from the start if it is the zero value, and returns the position to resume from.
+// After an error, Follow resumes from that position, or from the start if the store no
 // longer has it (code PlatformExpired). It calls onError for each error.
-func Follow(ctx context.Context, watch func(version string) (next string, err error), onError func(error)) {
+func Follow[P any](ctx context.Context, watch func(position P) (next P, err error), onError func(error)) {
 	intervals := NewBackOff()
-	version := ""
+	var position P
 	for ctx.Err() == nil {
-		next, err := watch(version)
-		version = next
+		next, err := watch(position)
+		position = next
 		if err == nil {
 			intervals.Reset()
 			continue
 		}
 		if code, _ := resultcode.Of(err); code == resultcode.PlatformExpired {
-			version = ""
+			position = *new(P)
 		}
 		if ctx.Err() == nil {
 			onError(err)
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -41,35 +41,43 @@
 // List returns all objects of a collection. Transient errors are retried a few
 // times.
 func (c *Client) List(ctx context.Context, collection string) (*List, error) {
-	return objectstore.Retry(ctx, func() (*List, error) {
-		return call[List](ctx, c, http.MethodGet, "list", collection, "", nil)
-	})
+	return objectstore.Retry(ctx, func() (*List, error) { return c.list(ctx, collection) })
+}
+
+// list makes one attempt to list a collection.
+func (c *Client) list(ctx context.Context, collection string) (*List, error) {
+	list, header, err := call[List](ctx, c, http.MethodGet, "list", collection, "", nil)
+	if err != nil {
+		return nil, err
+	}
+	list.Era = header.Get(eraHeader)
+	return list, nil
 }
 
 // Get returns one object. Transient errors are retried a few times.
 func (c *Client) Get(ctx context.Context, collection, name string) (*Object, error) {
 	return objectstore.Retry(ctx, func() (*Object, error) {
-		return call[Object](ctx, c, http.MethodGet, "get", collection, name, nil)
+		return c.callObject(ctx, http.MethodGet, "get", collection, name, nil)
 	})
 }
 
 // Create writes a new object. It is not retried: an error with the code
 // PlatformUncertain means that the write may have taken effect.
 func (c *Client) Create(ctx context.Context, collection string, object *Object) (*Object, error) {
-	return call[Object](ctx, c, http.MethodPost, "create", collection, "", object)
+	return c.callObject(ctx, http.MethodPost, "create", collection, "", object)
 }
 
 // Update replaces an object if its resource version is unchanged. It is not
 // retried: an error with the code PlatformUncertain means that the write may have
 // taken effect.
 func (c *Client) Update(ctx context.Context, collection string, object *Object) (*Object, error) {
-	return call[Object](ctx, c, http.MethodPut, "update", collection, object.Metadata.Name, object)
+	return c.callObject(ctx, http.MethodPut, "update", collection, object.Metadata.Name, object)
 }
 
 // Delete removes an object. It is not retried: an error with the code
 // PlatformUncertain means that the removal may have taken effect.
 func (c *Client) Delete(ctx context.Context, collection, name string) error {
-	_, err := call[Failure](ctx, c, http.MethodDelete, "delete", collection, name, nil)
+	_, _, err := call[Failure](ctx, c, http.MethodDelete, "delete", collection, name, nil)
 	return err
 }
 
@@ -84,42 +92,51 @@
 	return requestURL
 }
 
-// call sends a request and decodes the response. The error names the verb and
-// object.
-func call[T any](ctx context.Context, c *Client, method, verb, collection, name string, object *Object) (*T, error) {
+// callObject sends a request for one object.
+func (c *Client) callObject(ctx context.Context, method, verb, collection, name string, object *Object) (*Object, error) {
+	result, _, err := call[Object](ctx, c, method, verb, collection, name, object)
+	if err != nil {
+		return nil, err
+	}
+	return result, nil
+}
+
+// call sends a request and decodes the response, which it returns with its header. The
+// error names the verb and object.
+func call[T any](ctx context.Context, c *Client, method, verb, collection, name string, object *Object) (*T, http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	result, err := attempt[T](ctx, c, &objectstore.Call{
+	result, header, err := attempt[T](ctx, c, &objectstore.Call{
 		Method: method, Verb: verb, Kind: collection, URL: c.requestURL(collection, name, nil),
 	}, object)
 	if err != nil {
-		return nil, fmt.Errorf("%s %s %s: %w", verb, collection, name, err)
+		return nil, nil, fmt.Errorf("%s %s %s: %w", verb, collection, name, err)
 	}
-	return result, nil
+	return result, header, nil
 }
 
 // attempt sends a request once. The error has the code PlatformUncertain when a
 // write may have taken effect.
-func attempt[T any](ctx context.Context, c *Client, call *objectstore.Call, object *Object) (*T, error) {
+func attempt[T any](ctx context.Context, c *Client, call *objectstore.Call, object *Object) (*T, http.Header, error) {
 	if object != nil {
 		encoded, err := json.Marshal(object)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		call.Body = encoded
 	}
 	response, err := c.httpClient.Do(ctx, call)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if response.Status >= http.StatusMultipleChoices {
-		return nil, statusError(call.Method, response.Status, response.Content)
+		return nil, nil, statusError(call.Method, response.Status, response.Content)
 	}
 	var result T
 	if err := json.Unmarshal(response.Content, &result); err != nil {
-		return nil, objectstore.DecodeError(call.Method, err)
+		return nil, nil, objectstore.DecodeError(call.Method, err)
 	}
-	return &result, nil
+	return &result, response.Header, nil
 }
 
 // statusError returns the error for an unsuccessful response.
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -215,3 +215,36 @@
 		t.Errorf("watches began at %s, want %s", got, want)
 	}
 }
+
+// Guards against a watch that resumes at a version of an earlier era, and so misses the
+// changes up to that version after a restore of the platform.
+func TestWatchListsAgainAfterRestore(t *testing.T) {
+	var era, watches atomic.Int32
+	client, _ := newTestClient(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(eraHeader, fmt.Sprint(era.Load()))
+		switch {
+		case r.URL.Query().Get("watch") == "":
+			fmt.Fprintf(w, `{"metadata":{"resourceVersion":"%d"},"items":[]}`, 10-era.Load())
+		case watches.Add(1) == 1:
+			era.Add(1)
+			fmt.Fprintln(w, `{"type":"ADDED","object":{"metadata":{"name":"a","resourceVersion":"11"}}}`)
+		case watches.Load() == 3:
+			fmt.Fprintln(w, `{"type":"ADDED","object":{"metadata":{"name":"b","resourceVersion":"10"}}}`)
+		case watches.Load() > 3:
+			<-r.Context().Done()
+		}
+	})
+	r := &recorder{done: make(chan struct{}), expected: 5}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go client.Watch(ctx, Releases, r)
+	select {
+	case <-r.done:
+	case <-time.After(10 * time.Second):
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if got, want := fmt.Sprint(r.events), "[list 10 ADDED a failed 4007 list 9 ADDED b]"; got != want {
+		t.Errorf("events %s, want %s", got, want)
+	}
+}
--- a/internal/platform/object.go
+++ b/internal/platform/object.go
@@ -44,8 +44,15 @@
 	// RequestedAt is when a watch requested the list. The list may lack objects that
 	// were created since.
 	RequestedAt time.Time `json:"-"`
+	// Era is the era in which the platform responded; see eraHeader.
+	Era string `json:"-"`
 }
 
+// eraHeader is a header of all responses. Its value changes when the platform is restored
+// from a copy of its content. Resource versions are then assigned again, so those of two
+// eras must not be compared. It is missing if the platform has no eras.
+const eraHeader = "Storage-Era"
+
 // Failure is the body of an unsuccessful response and of an error event.
 type Failure struct {
 	Kind    string `json:"kind"`
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -34,33 +34,42 @@
 	Failed(err error)
 }
 
+// watchPosition is where a watch continues: a resource version and the era to which it
+// belongs. The zero value is the start, a list of the collection.
+type watchPosition struct {
+	era, version string
+}
+
 // Watch follows a collection until ctx ends. It resumes at the last resource
-// version and lists again when the platform no longer has that version.
+// version and lists again when the platform no longer has that version, or was restored
+// from a copy.
 func (c *Client) Watch(ctx context.Context, collection string, handler Handler) {
-	objectstore.Follow(ctx, func(version string) (string, error) {
-		return c.listAndWatch(ctx, collection, version, handler)
+	objectstore.Follow(ctx, func(position watchPosition) (watchPosition, error) {
+		return c.listAndWatch(ctx, collection, position, handler)
 	}, handler.Failed)
 }
 
-// listAndWatch lists the collection if version is empty, then reads one watch. It
-// returns the version at which to resume.
-func (c *Client) listAndWatch(ctx context.Context, collection, version string, handler Handler) (string, error) {
-	if version == "" {
+// listAndWatch lists the collection if position is the zero value, then reads one watch.
+// It returns the position at which to resume.
+func (c *Client) listAndWatch(ctx context.Context, collection string, position watchPosition, handler Handler) (watchPosition, error) {
+	if position.version == "" {
 		requestedAt := time.Now()
-		list, err := call[List](ctx, c, http.MethodGet, "list", collection, "", nil)
+		list, err := c.list(ctx, collection)
 		if err != nil {
-			return "", err
+			return watchPosition{}, err
 		}
 		list.RequestedAt = requestedAt
 		handler.Replace(list)
-		version = list.Metadata.ResourceVersion
+		position = watchPosition{era: list.Era, version: list.Metadata.ResourceVersion}
 	}
-	return c.stream(ctx, collection, version, handler)
+	version, err := c.stream(ctx, collection, position, handler)
+	return watchPosition{era: position.era, version: version}, err
 }
 
-// stream reads one watch from the given resource version. It returns the version at
-// which to resume.
-func (c *Client) stream(ctx context.Context, collection, version string, handler Handler) (string, error) {
+// stream reads one watch from the given position. It returns the version at which to
+// resume.
+func (c *Client) stream(ctx context.Context, collection string, position watchPosition, handler Handler) (string, error) {
+	version := position.version
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout+watchGrace)
 	defer cancel()
 	query := url.Values{}
@@ -77,6 +86,9 @@
 	if response.StatusCode != http.StatusOK {
 		return version, statusError(http.MethodGet, response.StatusCode, nil)
 	}
+	if era := response.Header.Get(eraHeader); era != position.era {
+		return version, resultcode.Errorf(resultcode.PlatformExpired, "the platform was restored: era %s follows era %s", era, position.era)
+	}
 	return readEvents(response, version, handler)
 }
 
--- a/standins/platform/platform_test.go
+++ b/standins/platform/platform_test.go
@@ -363,3 +363,44 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// Guards against a restore that keeps changes made after the copy, does not count versions
+// from it again, or does not end watches.
+func TestRestore(t *testing.T) {
+	p := startServer(t)
+	const drains = "/apis/burdockrelay.example/v1/drains"
+	create := func(name string) string {
+		body := fmt.Sprintf(`{"kind":"Drain","apiVersion":"burdockrelay.example/v1","metadata":{"name":%q},"spec":{}}`, name)
+		created := p.call(http.MethodPost, drains, body, http.StatusCreated)
+		return created["metadata"].(map[string]any)["resourceVersion"].(string)
+	}
+	p.call(http.MethodPost, "/control/restore", "", http.StatusConflict)
+	create("kept")
+	p.call(http.MethodPost, "/control/copy", "", http.StatusNoContent)
+	lostVersion := create("lost")
+	watch, err := p.do(http.MethodGet, drains+"?watch=1&resourceVersion="+lostVersion, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer watch.Body.Close()
+	p.call(http.MethodPost, "/control/restore", "", http.StatusNoContent)
+	if _, err := io.ReadAll(watch.Body); err != nil {
+		t.Errorf("watch across a restore: %v", err)
+	}
+	list, err := p.do(http.MethodGet, drains, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer list.Body.Close()
+	content, _ := io.ReadAll(list.Body)
+	if strings.Contains(string(content), "lost") || !strings.Contains(string(content), "kept") {
+		t.Errorf("content after the restore: %s", content)
+	}
+	if before, after := watch.Header.Get(eraHeader), list.Header.Get(eraHeader); before != "0" || after != "1" {
+		t.Errorf("era %s before the restore and %s after it, want 0 and 1", before, after)
+	}
+	p.call(http.MethodGet, drains+"?watch=1&resourceVersion="+lostVersion, "", http.StatusGone)
+	if again := create("again"); again != lostVersion {
+		t.Errorf("version %s after the restore, want %s again", again, lostVersion)
+	}
+}
--- a/standins/platform/server.go
+++ b/standins/platform/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"regexp"
+	"sync/atomic"
 	"time"
 
 	"burdockrelay.example/burdockrelay/standins/process"
@@ -45,6 +46,8 @@
 	faults    *faults
 	counters  *counters
 	instances *instanceQueue
+	// backup is the copy that the next restore uses, nil if there is none.
+	backup atomic.Pointer[storeCopy]
 
 	// Address is the bound address.
 	Address net.Addr
@@ -73,6 +76,8 @@
 	mux.HandleFunc("GET /control/faults", s.getFaults)
 	mux.HandleFunc("PATCH /control/faults", s.patchFaults)
 	mux.HandleFunc("GET /control/counters", s.getCounters)
+	mux.HandleFunc("POST /control/copy", s.postCopy)
+	mux.HandleFunc("POST /control/restore", s.postRestore)
 	mux.HandleFunc("PUT /control/instances/{name}", s.putInstance)
 	mux.HandleFunc("DELETE /control/instances/{name}", s.deleteInstance)
 	mux.HandleFunc(basePath+"{collection}", s.api(s.serveCollection))
@@ -110,6 +115,7 @@
 func (s *Server) api(next apiHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		collection := r.PathValue("collection")
+		s.setEra(w)
 		if !s.hasCollection(collection) {
 			writeError(w, newStatusError(http.StatusNotFound, "NotFound", "collection %q does not exist", collection))
 			return
--- a/standins/platform/store.go
+++ b/standins/platform/store.go
@@ -79,7 +79,9 @@
 // change increments. It is safe for concurrent use. In its methods, name is the
 // name of a collection and key the name of an object in it.
 type store struct {
-	mutex       sync.Mutex
+	mutex sync.Mutex
+	// era is the number of restores so far.
+	era         uint64
 	version     uint64
 	historySize int
 	collections map[string]*collection
--- a/standins/platform/watch.go
+++ b/standins/platform/watch.go
@@ -14,7 +14,7 @@
 	if statusErr != nil {
 		return statusErr
 	}
-	stream := &watchStream{server: s, collection: collection, version: version, encoder: json.NewEncoder(w)}
+	stream := &watchStream{server: s, collection: collection, era: s.store.currentEra(), version: version, encoder: json.NewEncoder(w)}
 	stream.controller = http.NewResponseController(w)
 	if version == 0 {
 		var events []Event
@@ -51,10 +51,11 @@
 	return version, duration, nil
 }
 
-// watchStream is one open watch. All events up to version have been sent.
+// watchStream is one open watch. All events up to version of the era have been sent.
 type watchStream struct {
 	server     *Server
 	collection string
+	era        uint64
 	version    uint64
 	encoder    *json.Encoder
 	controller *http.ResponseController
@@ -116,6 +117,9 @@
 	if frozen {
 		return nil, true
 	}
+	if ws.server.store.currentEra() != ws.era {
+		return nil, false
+	}
 	events, version, changed, statusErr := ws.server.store.eventsSince(ws.collection, ws.version)
 	if statusErr != nil {
 		ws.server.counters.countFailure(statusErr.Reason)
