Write a release again that the platform loses before it is accepted

What operators saw: a publication was reported as accepted, but the pointer named a release that the platform did not have, and no instance applied it.

Cause: the platform was restored from a copy while the publication waited for acknowledgements. The pointer had the same version in the copy, so the conditional update succeeded. The instances had dropped the release when their watch no longer listed it, but their acknowledgements of it still counted.

Change: a publication compares the era in which it wrote the release with that of each list of acknowledgements, and writes the release again if they differ; likewise after it has moved the pointer. An instance that drops a release withdraws its acknowledgement, which states that the release is loaded.

--- a/internal/controller/configuration.go
+++ b/internal/controller/configuration.go
@@ -60,6 +60,8 @@
 	Note    string `json:"note,omitempty"`
 	// Body is the encoded release, base64 in JSON.
 	Body []byte `json:"body"`
+	// era is the era of the platform in which the object was read.
+	era string
 }
 
 // pointerSpec is the spec of pointers/current.
--- a/internal/controller/configuration_watch.go
+++ b/internal/controller/configuration_watch.go
@@ -176,6 +176,10 @@
 	if existing := c.loaded[ref.Number]; existing != nil && existing.ref.Matches(ref) && ref.Number > c.tracker.Accepted().Number {
 		delete(c.loaded, ref.Number)
 	}
+	if c.ownAck.Ref.Matches(ref) {
+		// The acknowledgement states that the release is loaded.
+		c.ownAck = release.Ack{Instance: c.self, Ref: c.tracker.InForce(), Code: resultcode.OK}
+	}
 }
 
 // observeRelease loads a release of the platform unless it is too old, and records
--- a/internal/controller/publication.go
+++ b/internal/controller/publication.go
@@ -50,14 +50,17 @@
 // activePublication is a publication in progress.
 type activePublication struct {
 	*publicationController
-	state      *release.Publication
-	release    *config.Release
-	previous   *config.Release
-	pointer    pointerState
-	body       []byte
-	started    time.Duration
-	reports    map[string]observedAckReport
-	evaluation release.Evaluation
+	state    *release.Publication
+	release  *config.Release
+	previous *config.Release
+	pointer  pointerState
+	body     []byte
+	// createdIn and movedIn are the eras of the platform in which the release was
+	// written or read back and the pointer moved, empty if that is not known.
+	createdIn, movedIn string
+	started            time.Duration
+	reports            map[string]observedAckReport
+	evaluation         release.Evaluation
 	// conflict is the release of another publisher with the same number, nil if it
 	// could not be read.
 	conflict *config.Release
@@ -186,7 +189,10 @@
 	}
 	object, err := platform.NewObject("Release", strconv.FormatUint(ref.Number, 10), "", spec)
 	if err == nil {
-		_, err = p.platform.Create(ctx, platform.Releases, object)
+		object, err = p.platform.Create(ctx, platform.Releases, object)
+	}
+	if err == nil {
+		p.createdIn = object.Era
 	}
 	p.waitBeforeRetry(ctx, "create_release", err)
 	p.state.OnCreate(outcomeOf(err))
@@ -207,7 +213,10 @@
 	spec := pointerSpec{Number: ref.Number, Hash: ref.Hash, Withdrawn: p.pointer.spec.Withdrawn}
 	object, err := platform.NewObject("Pointer", pointerName, p.pointer.version, spec)
 	if err == nil {
-		_, err = p.platform.Update(ctx, platform.Pointers, object)
+		object, err = p.platform.Update(ctx, platform.Pointers, object)
+	}
+	if err == nil {
+		p.movedIn = object.Era
 	}
 	p.waitBeforeRetry(ctx, "move_pointer", err)
 	p.state.OnMove(outcomeOf(err))
@@ -297,6 +306,10 @@
 	p.mu.Lock()
 	p.observeAccepted(ref)
 	p.mu.Unlock()
+	if p.createdIn != p.movedIn {
+		// The platform may have been restored in between and have lost the release.
+		p.restoreAfterMove()
+	}
 	p.removeExpiredReleases(ref.Number)
 }
 
--- a/internal/controller/publication_groups.go
+++ b/internal/controller/publication_groups.go
@@ -31,6 +31,11 @@
 		p.waitBeforeRetry(ctx, "read_acknowledgements", err)
 		return
 	}
+	if list.Era != p.createdIn {
+		p.logger.Info("publication_step", zap.String("step", "release_lost"), zap.String("era", list.Era), zap.String("created_in", p.createdIn))
+		p.state.OnReleaseLost()
+		return
+	}
 	p.evaluation = release.EvaluateAcks(p.state.Ref(), p.collectGroups(list))
 	// No report may have been written yet: acceptance needs an acknowledgement.
 	if p.evaluation.Decision == release.Accept && p.evaluation.Acknowledged == 0 {
--- a/internal/controller/publication_read.go
+++ b/internal/controller/publication_read.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var spec releaseSpec
+	spec := releaseSpec{era: object.Era}
 	if err := json.Unmarshal(object.Spec, &spec); err != nil {
 		return nil, resultcode.Errorf(resultcode.PlatformBadAnswer, "decode release %d: %w", number, err)
 	}
@@ -153,6 +153,7 @@
 		record(false, release.Ref{})
 		return
 	}
+	p.createdIn = spec.era
 	record(true, spec.ref())
 	if p.state.Step() == release.StepConflict {
 		p.conflict, _ = decodeBody(spec.ref(), spec.Body)
--- a/internal/controller/restore.go
+++ b/internal/controller/restore.go
@@ -129,3 +129,18 @@
 	_, err = p.platform.Create(ctx, platform.Releases, object)
 	return err
 }
+
+// restoreAfterMove makes sure that the platform has the release to which this publication
+// has moved the pointer. The instances may have dropped it when the platform lost it.
+func (p *activePublication) restoreAfterMove() {
+	ctx, cancel := context.WithTimeout(context.Background(), cleanupTimeout)
+	defer cancel()
+	objectstore.RetryUntilSuccess(ctx, func() error {
+		if err := p.readPointerState(ctx); err != nil {
+			return err
+		}
+		return p.restoreRelease(ctx, &loadedRelease{ref: p.state.Ref(), release: p.release, body: p.body})
+	}, func(err error) {
+		p.logger.Warn("release_not_restored", zap.Error(err))
+	})
+}
--- a/internal/controller/restore_test.go
+++ b/internal/controller/restore_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"burdockrelay.example/burdockrelay/internal/admin"
+	"burdockrelay.example/burdockrelay/internal/config"
 	"burdockrelay.example/burdockrelay/internal/platform"
 	"burdockrelay.example/burdockrelay/internal/resultcode"
 )
@@ -47,6 +49,44 @@
 	eventually(t, 10*time.Second, "next release everywhere", func() bool { return c.allApplied(next) })
 }
 
+// Guards against a pointer to a release that the platform does not have: it was restored
+// between the write of the release and the move of the pointer, whose version is in the
+// copy as well.
+func TestRestoreDuringPublication(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	loading, proceed := make(chan struct{}, 1), make(chan struct{})
+	c.verify = map[int]func(*config.Release) error{2: func(r *config.Release) error {
+		if r.Number == 2 {
+			signal(loading)
+			<-proceed
+		}
+		return nil
+	}}
+	c.startAll(3)
+	first := c.mustPublish(c.daemons[0], "12")
+	eventually(t, 10*time.Second, "release everywhere", func() bool { return c.allApplied(first) })
+	backup := c.platform.copyContent()
+	result := make(chan admin.PublishResult, 1)
+	go func() { result <- c.publish(c.daemons[0], "tester", "13") }()
+	<-loading
+	c.platform.restore(backup)
+	close(proceed)
+	published := <-result
+	t.Logf("code %d: %s", published.Code, published.Message)
+	hasRelease := func() bool {
+		c.platform.mu.Lock()
+		defer c.platform.mu.Unlock()
+		return c.platform.collections[platform.Releases][fmt.Sprint(published.Release)] != nil
+	}
+	if published.Code == resultcode.OK {
+		eventually(t, 10*time.Second, "accepted release at the platform", hasRelease)
+		eventually(t, 10*time.Second, "accepted release everywhere", func() bool { return c.allApplied(published.Release) })
+	}
+	next := c.mustPublish(c.daemons[1], "14")
+	eventually(t, 10*time.Second, "next release everywhere", func() bool { return c.allApplied(next) })
+}
+
 // Guards against two accepted releases of one number: a publisher that does not know the
 // accepted one, because the platform has lost it, must not get acknowledgements.
 func TestReleaseWithNumberOfAcceptedOneIsRefused(t *testing.T) {
--- a/internal/decision/release/publication.go
+++ b/internal/decision/release/publication.go
@@ -110,6 +110,11 @@
 	}
 }
 
+// OnReleaseLost handles a platform that was restored from a copy without the release while
+// acknowledgements were awaited. The creation is repeated, which is safe because it fails
+// if the object exists.
+func (p *Publication) OnReleaseLost() { p.step = StepCreate }
+
 // OnMove handles the outcome of moving the pointer.
 func (p *Publication) OnMove(outcome Outcome) {
 	switch outcome {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -94,10 +94,11 @@
 
 // callObject sends a request for one object.
 func (c *Client) callObject(ctx context.Context, method, verb, collection, name string, object *Object) (*Object, error) {
-	result, _, err := call[Object](ctx, c, method, verb, collection, name, object)
+	result, header, err := call[Object](ctx, c, method, verb, collection, name, object)
 	if err != nil {
 		return nil, err
 	}
+	result.Era = header.Get(eraHeader)
 	return result, nil
 }
 
--- a/internal/platform/object.go
+++ b/internal/platform/object.go
@@ -35,6 +35,8 @@
 	Metadata   Metadata        `json:"metadata"`
 	Spec       json.RawMessage `json:"spec,omitempty"`
 	Status     json.RawMessage `json:"status,omitempty"`
+	// Era is the era in which the platform returned the object; see eraHeader.
+	Era string `json:"-"`
 }
 
 // List is the response to a GET on a collection.
