Store drains again that a restored platform has lost

What operators saw: a drain that had been reported as stored was missing at the platform after it had been restored from a copy, and was lost for good once all instances that had it in memory were replaced: the drained endpoint got new flows.

Cause: an instance took an override that it had once read from the platform or written to it to be stored there for good.

Evidence: TestDrainIsStoredAgainAfterRestore failed before ("after 15s still not: drain at the platform").

Change: a list of the drains, with which each watch starts, replaces the record of what is stored. Overrides that it lacks are stored again.

--- a/internal/controller/drain.go
+++ b/internal/controller/drain.go
@@ -154,8 +154,12 @@
 	return override, true
 }
 
-// Replace implements platform.Handler for the collection drains.
+// Replace implements platform.Handler for the collection drains. Overrides that the list
+// lacks are stored again: the platform may have lost them.
 func (d *drainController) Replace(list *platform.List) {
+	d.mu.Lock()
+	clear(d.stored)
+	d.mu.Unlock()
 	for i := range list.Items {
 		d.observe(&list.Items[i])
 	}
--- a/internal/controller/restore_test.go
+++ b/internal/controller/restore_test.go
@@ -87,6 +87,41 @@
 	eventually(t, 10*time.Second, "next release everywhere", func() bool { return c.allApplied(next) })
 }
 
+// Guards against a drain that is lost with the instances that have it, because the
+// restored platform does not have it and none of them stores it again.
+func TestDrainIsStoredAgainAfterRestore(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	c.startAll(3)
+	release := c.mustPublish(c.daemons[0], "12")
+	eventually(t, 10*time.Second, "release everywhere", func() bool { return c.allApplied(release) })
+	backup := c.platform.copyContent()
+	if stored, err := c.daemons[0].controller.Drain(t.Context(), "crew-1", true); err != nil || !stored {
+		t.Fatalf("drain: stored %t, error %v", stored, err)
+	}
+	drains := func() int {
+		c.platform.mu.Lock()
+		defer c.platform.mu.Unlock()
+		return len(c.platform.collections[platform.Drains])
+	}
+	eventually(t, 10*time.Second, "drain known to be stored everywhere", func() bool {
+		for _, d := range c.daemons {
+			d.controller.core.mu.Lock()
+			known := len(d.controller.drain.stored)
+			d.controller.core.mu.Unlock()
+			if known == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	c.platform.restore(backup)
+	if n := drains(); n != 0 {
+		t.Fatalf("%d drains in the copy", n)
+	}
+	eventually(t, 15*time.Second, "drain at the platform", func() bool { return drains() == 1 })
+}
+
 // Guards against two accepted releases of one number: a publisher that does not know the
 // accepted one, because the platform has lost it, must not get acknowledgements.
 func TestReleaseWithNumberOfAcceptedOneIsRefused(t *testing.T) {
