Use an endpoint that a restored store lists with its last known entry

Cause: the first copy lacked the endpoints, so they were missing. The second one listed them with the entry that was known, and this was taken for an entry from before their removal.

Change: only an entry that the endpoint wrote before the known one waits for restoreGrace. An endpoint that has left gracefully is still recognised, because its last entry says that it drains; one that has crashed is suspect already.

Evidence: TestEndpointMissingInFirstOfTwoCopies ("missing after the second restore, want serving") and the new case of TestEntriesOfRestoredCopy failed before.

--- a/internal/directory/merge.go
+++ b/internal/directory/merge.go
@@ -46,7 +46,7 @@
 // before it. An entry that is part of the copy and has not changed since keeps its
 // revision, so that it is not part of differences between the two eras.
 func (c *Catalog) mergeNewerEra(existing *EndpointRecord, listed *Endpoint, now time.Duration) bool {
-	if c.inRestoreGrace(now) && supersedes(existing, listed) {
+	if c.inRestoreGrace(now) && listed.WrittenBefore(&existing.Endpoint) {
 		c.deferEntry(existing, *listed)
 		return false
 	}
@@ -62,7 +62,7 @@
 // mergeOlderEra merges a record from before a restore of the store into a record of the
 // present era: a newer entry of the endpoint replaces the one that is listed.
 func (c *Catalog) mergeOlderEra(existing, incoming *EndpointRecord, now time.Duration) bool {
-	if existing.Missing() || incoming.Endpoint.Service == "" || !c.inRestoreGrace(now) || !supersedes(incoming, &existing.Endpoint) {
+	if existing.Missing() || incoming.Endpoint.Service == "" || !c.inRestoreGrace(now) || !existing.Endpoint.WrittenBefore(&incoming.Endpoint) {
 		return false
 	}
 	replaced := *existing
@@ -78,13 +78,6 @@
 	return true
 }
 
-// supersedes reports whether a record from before a restore is newer than the entry that
-// the store lists after it. An entry without later heartbeats is from the time before the
-// removal of a missing endpoint.
-func supersedes(before *EndpointRecord, listed *Endpoint) bool {
-	return listed.WrittenBefore(&before.Endpoint) || before.Missing() && !before.Endpoint.WrittenBefore(listed)
-}
-
 // deferEntry keeps an entry that a restored store lists until the end of restoreGrace.
 func (c *Catalog) deferEntry(r *EndpointRecord, listed Endpoint) {
 	c.hasDeferred = true
