Prolong the grace of missing endpoints at a further restore

Endpoints that a copy lacked were dropped as soon as the store was restored again, although they had had no time to register.

Cause: the recovery grace applied to endpoints that had been missing since the last recovery only, and a further recovery moved that time.

Change: a recovery within the grace of an earlier one prolongs it for the endpoints that have been missing since then.

--- a/internal/discovery/cache.go
+++ b/internal/discovery/cache.go
@@ -56,6 +56,9 @@
 	// last recovered from an outage, 0 for never. Both are in nanoseconds of clock.
 	confirmedAt atomic.Int64
 	recoveredAt atomic.Int64
+	// graceFrom is the recovery with which the present recovery grace began. Recoveries
+	// within the grace of an earlier one prolong it. Guarded by mu.
+	graceFrom time.Duration
 	ready       chan struct{}
 }
 
@@ -241,9 +244,13 @@
 	}
 	// Peers report the same recovery at slightly different times, depending on how long
 	// their responses took.
-	if at <= time.Duration(c.recoveredAt.Load())+recoverySlack {
+	previous := time.Duration(c.recoveredAt.Load())
+	if at <= previous+recoverySlack {
 		return false
 	}
+	if previous == 0 || at >= previous+recoveryGrace {
+		c.graceFrom = at
+	}
 	c.recoveredAt.Store(int64(at))
 	return true
 }
@@ -298,10 +305,11 @@
 }
 
 // inRecoveryGrace reports whether the entry of a missing endpoint may only have expired
-// in an outage of the store that has just ended.
+// in an outage of the store that has just ended, or have been lost in a restore. The
+// caller holds mu.
 func (c *Cache) inRecoveryGrace(record *directory.EndpointRecord, now time.Duration) bool {
 	recoveredAt := time.Duration(c.recoveredAt.Load())
-	return recoveredAt > 0 && now < recoveredAt+recoveryGrace && record.MissingSince >= recoveredAt-recoverySlack
+	return recoveredAt > 0 && now < recoveredAt+recoveryGrace && record.MissingSince >= c.graceFrom-recoverySlack
 }
 
 // state returns the state of an endpoint. The caller holds mu.
