Restore the store to copies of its content in the soak

Random runs with restores, once in a while to a copy from before an earlier restore, with and without a noticeable outage; the operator and the endpoints write again up to 1.5 s later.

--- a/standins/soak/faults.go
+++ b/standins/soak/faults.go
@@ -14,7 +14,7 @@
 	kinds := []func(time.Duration){
 		r.kill, r.stop, r.pause, r.reloadSettings,
 		r.faultStorePath, r.faultStoreServer, r.failStore, r.faultPeerPath, r.impairPackets,
-		r.stallEndpoint, r.crashEndpoint, r.replaceEndpoint, r.changeConfiguration, r.blockWatches, r.expireRecords,
+		r.stallEndpoint, r.crashEndpoint, r.replaceEndpoint, r.changeConfiguration, r.blockWatches, r.expireRecords, r.restoreStore,
 	}
 	kinds[r.random.Intn(len(kinds))](length)
 }
@@ -182,8 +182,7 @@
 		return
 	}
 	r.logEvent("endpoint %s crashes", e.Name())
-	r.checker.EndpointStopped(e.Name())
-	e.Close()
+	r.stopEndpoint(e)
 	r.endpoints["desk"] = append(r.endpoints["desk"][:index], r.endpoints["desk"][index+1:]...)
 	r.scheduleEnd(length, func() {
 		r.store.Remove("servers", e.Name())
@@ -209,8 +208,7 @@
 	e.Drain()
 	r.checker.EndpointDraining(e.Name())
 	r.scheduleEnd(drainTime, func() {
-		r.checker.EndpointStopped(e.Name())
-		e.Close()
+		r.stopEndpoint(e)
 		r.store.Remove("servers", e.Name())
 	})
 }
--- a/standins/soak/soak.go
+++ b/standins/soak/soak.go
@@ -69,9 +69,13 @@
 	port      uint16
 	instances []*instance
 	endpoints map[string][]*testbed.Endpoint
-	nextID    int
-	faults    int
-	hosts     []*testbed.Host
+	// running holds all endpoints that run, by name, including those that leave.
+	running map[string]*testbed.Endpoint
+	nextID  int
+	faults  int
+	// backups are copies of the store, oldest first.
+	backups []backup
+	hosts   []*testbed.Host
 	// pendingEnds are the scheduled ends of active faults.
 	pendingEnds []faultEnd
 	// configurationNumber counts the changes of the optional destination, which is part
@@ -91,7 +95,7 @@
 	r := &run{
 		settings: settings, random: rand.New(rand.NewSource(settings.Seed)), startedAt: time.Now(),
 		store: testbed.NewStore(), checker: testbed.NewChecker(applyDeadline + schedulingSlack), router: testbed.NewRouter(),
-		endpoints: make(map[string][]*testbed.Endpoint),
+		endpoints: make(map[string][]*testbed.Endpoint), running: make(map[string]*testbed.Endpoint),
 	}
 	defer r.close()
 	if err := r.start(); err != nil {
@@ -102,6 +106,7 @@
 	r.startCallers(&tally, stop)
 	for time.Since(r.startedAt) < settings.Length {
 		r.endExpiredFaults(time.Now())
+		r.makeBackup()
 		r.injectFault()
 		r.wait(time.Duration(100+r.random.Intn(900)) * time.Millisecond)
 	}
@@ -143,10 +148,8 @@
 	for _, i := range r.instances {
 		i.close()
 	}
-	for _, list := range r.endpoints {
-		for _, e := range list {
-			e.Close()
-		}
+	for _, e := range r.running {
+		e.Close()
 	}
 	r.router.Close()
 }
@@ -225,9 +228,17 @@
 		return err
 	}
 	r.endpoints[service] = append(r.endpoints[service], e)
+	r.running[e.Name()] = e
 	return nil
 }
 
+// stopEndpoint stops an endpoint at once.
+func (r *run) stopEndpoint(e *testbed.Endpoint) {
+	r.checker.EndpointStopped(e.Name())
+	e.Close()
+	delete(r.running, e.Name())
+}
+
 // destinations returns the permanent destinations and, in even configurations, the
 // optional one.
 func (r *run) destinations() []testbed.Destination {
--- a/standins/testbed/operator.go
+++ b/standins/testbed/operator.go
@@ -14,6 +14,8 @@
 	mu           sync.Mutex
 	version      int
 	destinations []Destination
+	// content is the last published configuration.
+	content json.RawMessage
 }
 
 // NewOperator returns an operator that has published nothing.
@@ -46,6 +48,7 @@
 	if err != nil {
 		panic(err)
 	}
+	o.content = content
 	o.store.Put("config", "main", content)
 	for _, previous := range o.destinations {
 		if !contains(destinations, previous) {
@@ -55,6 +58,13 @@
 	o.destinations = destinations
 }
 
+// Republish writes the last published configuration again, if the store has lost it.
+func (o *Operator) Republish() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.store.Put("config", "main", o.content)
+}
+
 func contains(destinations []Destination, d Destination) bool {
 	for _, other := range destinations {
 		if other.socketAddr() == d.socketAddr() {
