--- a/internal/discovery/cache.go
+++ b/internal/discovery/cache.go
@@ -50,15 +50,15 @@
 	// unlisted holds the members of endpoints that are no longer listed, by endpoint
 	// name.
 	unlisted map[string]*selection.Member
+	// graceFrom is the recovery with which the present recovery grace began. Recoveries
+	// within the grace of an earlier one prolong it.
+	graceFrom time.Duration
 
 	currentView atomic.Pointer[steering.View]
 	// confirmedAt is when the store last confirmed the cached state, recoveredAt when it
 	// last recovered from an outage, 0 for never. Both are in nanoseconds of clock.
 	confirmedAt atomic.Int64
 	recoveredAt atomic.Int64
-	// graceFrom is the recovery with which the present recovery grace began. Recoveries
-	// within the grace of an earlier one prolong it. Guarded by mu.
-	graceFrom time.Duration
 	ready       chan struct{}
 }
 
