--- a/internal/controller/publication.go
+++ b/internal/controller/publication.go
@@ -92,8 +92,8 @@
 	}
 	previous, err := p.readRelease(ctx, p.pointer.spec.Number)
 	if code, _ := resultcode.Of(err); err != nil && code == resultcode.PlatformNotFound {
-		// A restored platform may have lost the release of the pointer.
 		signal(p.restoreSignal)
+		err = resultcode.Errorf(resultcode.AdminUnavailable, "the platform has lost release %d, which is being written again", p.pointer.spec.Number)
 	}
 	if err != nil {
 		return admin.PublishResult{}, err
--- a/internal/controller/restore.go
+++ b/internal/controller/restore.go
@@ -31,14 +31,24 @@
 			continue
 		}
 		sleep(ctx, jitter(restoreDelay))
-		objectstore.RetryUntilSuccess(ctx, func() error {
-			return (&activePublication{publicationController: p}).restoreAccepted(ctx)
-		}, func(err error) {
-			p.logger.Info("release_not_restored", zap.Error(err))
-		})
+		p.retryRestore(ctx, (&activePublication{publicationController: p}).restoreAccepted)
 	}
 }
 
+// retryRestore retries an operation until it succeeds or the context ends. It gives up if
+// the platform has another release with the number of the accepted one.
+func (p *publicationController) retryRestore(ctx context.Context, operation func(context.Context) error) {
+	logFailure := func(err error) { p.logger.Warn("release_not_restored", zap.Error(err)) }
+	objectstore.RetryUntilSuccess(ctx, func() error {
+		err := operation(ctx)
+		if code, _ := resultcode.Of(err); err != nil && code == resultcode.ReleaseHashMismatch {
+			logFailure(err)
+			return nil
+		}
+		return err
+	}, logFailure)
+}
+
 // restoreAccepted reads the pointer. If it is below the accepted release, or the platform
 // does not have that release, it writes the release and moves the pointer to it.
 func (p *activePublication) restoreAccepted(ctx context.Context) error {
@@ -135,12 +145,10 @@
 func (p *activePublication) restoreAfterMove() {
 	ctx, cancel := context.WithTimeout(context.Background(), cleanupTimeout)
 	defer cancel()
-	objectstore.RetryUntilSuccess(ctx, func() error {
+	p.retryRestore(ctx, func(ctx context.Context) error {
 		if err := p.readPointerState(ctx); err != nil {
 			return err
 		}
 		return p.restoreRelease(ctx, &loadedRelease{ref: p.state.Ref(), release: p.release, body: p.body})
-	}, func(err error) {
-		p.logger.Warn("release_not_restored", zap.Error(err))
 	})
 }
--- a/internal/discovery/cache.go
+++ b/internal/discovery/cache.go
@@ -279,15 +279,15 @@
 	now := c.clock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	adopted := c.catalog.AdoptDeferred(now)
+	changed := c.catalog.AdoptDeferred(now)
 	next = c.catalog.RestoreGraceEnd()
 	recoveredAt := time.Duration(c.recoveredAt.Load())
 	if end := recoveredAt + recoveryGrace; recoveredAt > 0 && now < end {
 		next = end
-	} else if c.hasGoneEndpoint() {
-		adopted = true
+	} else {
+		changed = changed || c.hasGoneEndpoint()
 	}
-	if adopted {
+	if changed {
 		changes = c.publish(now)
 	}
 	return next, changes
