Let the endpoint of two restore tests drain before it leaves

The endpoint now drains and then leaves, as endpoints do, so that the test still fails if the copy brings it back; the other case is covered by "only the removal lost" of TestEntriesOfRestoredCopy.

--- a/standins/testbed/restore_test.go
+++ b/standins/testbed/restore_test.go
@@ -30,6 +30,14 @@
 	}
 }
 
+// lastChangeEverywhere waits until all nodes have the last change of the store.
+func lastChangeEverywhere(t *testing.T, store *testbed.Store, nodes []*node) {
+	t.Helper()
+	for _, n := range nodes {
+		within(t, applyDeadline, "last change at "+n.name, func() bool { at, _ := n.cache.CompleteAt(); return at.Number == store.Revision() })
+	}
+}
+
 // heartbeat writes the record of an endpoint with a sequence number.
 func heartbeat(store *testbed.Store, id int, state string, sequence int) {
 	store.Heartbeat(fmt.Sprintf("i-%x", id), record(id, state, sequence))
@@ -65,8 +73,10 @@
 	backup := store.Copy()
 	publishEverywhere(t, store, nodes, 3)
 	heartbeat(store, 1, "draining", 5)
-	store.Remove("servers", "i-2")
+	heartbeat(store, 2, "draining", 4)
 	endpointsEverywhere(t, nodes, 2)
+	store.Remove("servers", "i-2")
+	lastChangeEverywhere(t, store, nodes)
 	store.Restore(backup)
 	for end := time.Now().Add(3 * applyDeadline); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		for _, n := range nodes {
@@ -93,8 +103,10 @@
 	backup := store.Copy()
 	publishEverywhere(t, store, []*node{first}, 3)
 	heartbeat(store, 1, "draining", 5)
-	store.Remove("servers", "i-2")
+	heartbeat(store, 2, "draining", 4)
 	endpointsEverywhere(t, []*node{first}, 1)
+	store.Remove("servers", "i-2")
+	lastChangeEverywhere(t, store, []*node{first})
 	store.Restore(backup)
 	started := startNode(t, store, "entry-2", first)
 	within(t, applyDeadline, "version of the peer", func() bool { return started.version() == 3 && started.endpointCount() == 1 })
