Check suspect endpoints again when the store lists them again

What callers saw: less capacity than runs. An endpoint whose entry was missing for a while, because its data centre was cut off or the store was restored from a copy without it, got no new flows afterwards from the instances that had found it suspect, as long as any other endpoint served.

Cause: health checks end when an endpoint is no longer listed. The endpoint keeps its condition when it is listed again, and only an endpoint that becomes suspect was reported for checks. Found by reading, when the restore tests asked what becomes of a crashed endpoint that a copy lists.

Evidence: TestSuspectThatIsListedAgainIsReported and TestEndpointListedAgainAtEndOfChecks failed before. How often it matters was not measured yet.

--- a/internal/decision/selection/selection.go
+++ b/internal/decision/selection/selection.go
@@ -64,6 +64,9 @@
 	members []*Member
 	// unlisted holds members that the store no longer lists, oldest first.
 	unlisted []*Member
+	// relisted holds suspect members that the store lists again. Their health checks
+	// ended when it no longer listed them.
+	relisted []*Member
 	// medianResponse is the median in ns of the endpoints' mean response times. Unlike
 	// a mean it is not distorted by one slow endpoint or one that fails immediately.
 	medianResponse float64
@@ -108,7 +111,7 @@
 	for _, endpoint := range endpoints {
 		m := find(previous, &endpoint)
 		if m == nil {
-			m = find(p.unlisted, &endpoint)
+			m = p.relist(&endpoint)
 		}
 		if m == nil {
 			m = &Member{pool: p, aliveAt: now, tieBreak: xxhash.Sum64String(p.instance + "/" + endpoint.Name)}
@@ -120,6 +123,15 @@
 	return slices.Clone(p.members)
 }
 
+// relist returns the member of an endpoint that was listed before, nil if none is kept.
+func (p *Pool) relist(endpoint *directory.Endpoint) *Member {
+	m := find(p.unlisted, endpoint)
+	if m != nil && m.condition == Suspect {
+		p.relisted = append(p.relisted, m)
+	}
+	return m
+}
+
 // retire keeps the members that are no longer listed, up to the latest maxUnlisted. An
 // endpoint that is listed again keeps its observations.
 func (p *Pool) retire(previous []*Member) {
@@ -218,8 +230,8 @@
 // Choose returns the endpoint for a new flow and counts the flow as a request in flight.
 // It returns nil if no endpoint accepts new flows. It considers only members for which
 // eligible returns true, because the pool may have endpoints that are missing from the view
-// in use, and chooses avoid only if there is no other. suspects lists the endpoints that
-// became suspect because they did not answer an earlier flow in time.
+// in use, and chooses avoid only if there is no other. suspects lists the endpoints whose
+// health must be checked; see MarkSuspects.
 func (p *Pool) Choose(now time.Duration, avoid *Member, eligible func(*Member) bool) (chosen *Member, suspects []*Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -232,7 +244,7 @@
 }
 
 // MarkSuspects marks endpoints suspect that did not answer a flow in time, and returns
-// them. Choose does the same.
+// them and those that are suspect and were listed again. Choose does the same.
 func (p *Pool) MarkSuspects(now time.Duration) []*Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -243,7 +255,8 @@
 // that have not been alive since the handshake began. An endpoint that refuses a flow can
 // be detected only in this way, because its refusal goes directly to the caller.
 func (p *Pool) markSuspects(now time.Duration) []*Member {
-	var suspects []*Member
+	suspects := p.relisted
+	p.relisted = nil
 	wait := min(max(time.Duration(handshakeTimeoutFactor*p.meanHandshake), minHandshakeTimeout), maxHandshakeTimeout)
 	expired := 0
 	for _, h := range p.pending {
--- a/internal/decision/selection/selection_test.go
+++ b/internal/decision/selection/selection_test.go
@@ -460,3 +460,22 @@
 }
 
 func anyMember(*Member) bool { return true }
+
+// Guards against a running endpoint that stays suspect: its entry was missing for a while,
+// which ended its health checks, and nobody starts them again when it is listed again.
+func TestSuspectThatIsListedAgainIsReported(t *testing.T) {
+	p := newDeskPool(2, 0)
+	m := p.member(t, "i-1")
+	m.FirstPacketRetransmitted(time.Second, 0)
+	p.Update([]directory.Endpoint{endpoint("i-2", home)}, 2*time.Second)
+	if suspects := p.MarkSuspects(3 * time.Second); len(suspects) != 0 {
+		t.Errorf("%d suspects while the endpoint is not listed, want none", len(suspects))
+	}
+	p.Update([]directory.Endpoint{endpoint("i-1", home), endpoint("i-2", home)}, 4*time.Second)
+	if suspects := p.MarkSuspects(5 * time.Second); len(suspects) != 1 || suspects[0] != m {
+		t.Errorf("suspects %v after the endpoint was listed again, want it", suspects)
+	}
+	if suspects := p.MarkSuspects(6 * time.Second); len(suspects) != 0 {
+		t.Errorf("%d suspects reported twice", len(suspects))
+	}
+}
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -96,10 +96,16 @@
 	go p.run(m)
 }
 
-// finish ends the checks of an endpoint and starts those of the next one that waits.
+// finish ends the checks of an endpoint and starts those of the next one that waits. An
+// endpoint that was listed again after its last check is checked again, because Probe has
+// ignored it until now.
 func (p *Prober) finish(m *selection.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if status := m.Status(p.directory.Now()); p.ctx.Err() == nil && needsChecks(&status) {
+		p.start(m)
+		return
+	}
 	delete(p.probed, m)
 	if len(p.waiting) == 0 {
 		return
@@ -117,7 +123,7 @@
 	interval := initialInterval
 	for checks := 1; ; checks++ {
 		status = m.Status(p.directory.Now())
-		if !status.Listed || status.Endpoint.Draining || status.Condition != selection.Suspect {
+		if !needsChecks(&status) {
 			break
 		}
 		err := p.checkOnce(&status)
@@ -138,6 +144,10 @@
 		zap.Stringer("condition", status.Condition))
 }
 
+func needsChecks(status *selection.Status) bool {
+	return status.Listed && !status.Endpoint.Draining && status.Condition == selection.Suspect
+}
+
 func (p *Prober) checkOnce(status *selection.Status) error {
 	path := p.directory.HealthPath(status.Endpoint.Service)
 	if path == "" {
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -136,3 +136,18 @@
 		})
 	})
 }
+
+// Guards against an endpoint that is not checked, because it was listed again between the
+// end of its checks and their removal from the list of running ones.
+func TestEndpointListedAgainAtEndOfChecks(t *testing.T) {
+	c := &checker{}
+	d := testDirectory{time.Now()}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	p := New(ctx, c, d, zap.NewNop(), prometheus.NewRegistry())
+	_, m := newSuspect(d.Now())
+	p.probed[m] = true
+	p.Probe(m)
+	p.finish(m)
+	waitFor(t, time.Second, "further checks", func() bool { return c.checks.Load() > 0 })
+}
