Reset a flow with an unknown label only after a further confirmation

The endpoint had registered 0.15 s before; entry-2 opened the flow and was then stopped, and the next packet came to an instance whose list of endpoints was 0.5 s old.

Cause: an unknown label was taken to be that of an endpoint that no longer exists whenever the list was at most 1.5 s old, although the endpoint may be younger than the list.

Change: a shard records when a label was first unknown, at most 64 labels. A packet with it is refused only if the list has been confirmed since then. The endpoint of a flow is in the store before the flow is opened, so such a list contains it if it still runs. Until then packets are dropped and retransmitted.

Evidence: TestUnknownLabels with the new case failed before ("not confirmed since the first packet: kind 2, want 0"). It has no other expectation than before for the second packet of each case; for the first one a drop instead of an immediate reset is the change.

--- a/internal/decision/steering/steering.go
+++ b/internal/decision/steering/steering.go
@@ -304,7 +304,7 @@
 		m, response = f.handlePacket(p, m, now)
 	}
 	if m == nil {
-		return handleUnknownLabel(p, fresh)
+		return s.handleUnknownLabel(p, fresh, now)
 	}
 	action := Action{Kind: Forward, Code: resultcode.PacketForwarded, Member: m, Label: p.Label, Response: response}
 	if f != nil && (p.Fin || p.Reset) && f.finish(now) {
@@ -314,12 +314,26 @@
 }
 
 // handleUnknownLabel handles a packet whose label matches no known endpoint. It is
-// refused only if the list of endpoints is complete, so that the endpoint cannot be a
-// new one. A packet without a label does not identify its endpoint, which may still be
-// serving the flow, so the packet is dropped.
-func handleUnknownLabel(p *Packet, fresh Freshness) Action {
-	if !fresh.endpointsComplete(minSettledForReset) || p.Reset || p.Label == 0 {
+// refused only if the list of endpoints is complete and was confirmed after the first
+// packet with the label, so that the endpoint cannot be a new one. A packet without a label
+// does not identify its endpoint, which may still be serving the flow, so the packet is
+// dropped.
+func (s *shard) handleUnknownLabel(p *Packet, fresh Freshness, now time.Duration) Action {
+	if p.Reset || p.Label == 0 || !s.unknownBefore(p.Label, now-fresh.Age, now) || !fresh.endpointsComplete(minSettledForReset) {
 		return drop(resultcode.RouteUnknownFlow)
 	}
 	return refuse(resultcode.RouteEndpointGone)
 }
+
+// unknownBefore reports whether a label was already unknown at a time, and records that it
+// is unknown now.
+func (s *shard) unknownBefore(l label.Label, at, now time.Duration) bool {
+	since, recorded := s.unknownSince[l]
+	if recorded {
+		return since < at
+	}
+	if len(s.unknownSince) < maxUnknownLabels {
+		s.unknownSince[l] = now
+	}
+	return false
+}
--- a/internal/decision/steering/steering_test.go
+++ b/internal/decision/steering/steering_test.go
@@ -74,7 +74,7 @@
 }
 
 // Guards against resets of flows whose endpoint may only be missing from a list that is
-// stale or not settled yet.
+// stale or not settled yet, or that was confirmed before the endpoint started.
 func TestUnknownLabels(t *testing.T) {
 	for _, c := range []struct {
 		name  string
@@ -83,6 +83,7 @@
 		kind  Kind
 	}{
 		{"settled", settledFreshness, false, Refuse},
+		{"not confirmed since the first packet", Freshness{HasConfiguration: true, Age: 600 * time.Millisecond, SettledFor: time.Minute}, false, Drop},
 		{"just started", Freshness{HasConfiguration: true, SettledFor: 4 * time.Second}, false, Drop},
 		{"stale state", Freshness{HasConfiguration: true, Age: 2 * time.Second, SettledFor: time.Minute}, false, Drop},
 		{"a reset is not answered", settledFreshness, true, Drop},
@@ -90,12 +91,37 @@
 		i := newSmallInstance()
 		p := packetTo(443, 1000)
 		p.First, p.Reset, p.Label = false, c.reset, 0x1234
-		if action := i.table.Handle(i.view, &p, c.fresh, time.Second); action.Kind != c.kind {
+		if action := i.table.Handle(i.view, &p, c.fresh, time.Second); action.Kind != Drop {
+			t.Errorf("%s: first packet: kind %d, want a drop", c.name, action.Kind)
+		}
+		if action := i.table.Handle(i.view, &p, c.fresh, 1500*time.Millisecond); action.Kind != c.kind {
 			t.Errorf("%s: kind %d, want %d", c.name, action.Kind, c.kind)
 		}
 	}
 }
 
+// Guards against memory that grows with the number of unknown labels, which callers
+// choose, and against resets of flows whose label was not recorded.
+func TestUnknownLabelsAreBounded(t *testing.T) {
+	i := newSmallInstance()
+	p := packetTo(443, 1000)
+	p.First = false
+	for n := range label.Label(10_000) {
+		p.Label = 1 + n
+		for _, now := range []time.Duration{time.Second, 2 * time.Second} {
+			if action := i.table.Handle(i.view, &p, settledFreshness, now); action.Kind == Refuse && n > maxUnknownLabels {
+				t.Fatalf("label %d of those without a record: kind %d, want a drop", n, action.Kind)
+			}
+		}
+	}
+	for index := range Shards {
+		i.table.Expire(index, time.Minute, time.Minute, nil)
+		if n := len(i.table.shards[index].unknownSince); n != 0 {
+			t.Errorf("shard %d keeps %d unknown labels after their lifetime", index, n)
+		}
+	}
+}
+
 // Guards against a reset of a flow whose packets carry no label because its first packet
 // was forwarded without one.
 func TestPacketsWithoutLabelAreDropped(t *testing.T) {
--- a/internal/decision/steering/table.go
+++ b/internal/decision/steering/table.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -30,6 +31,9 @@
 	mu       sync.Mutex
 	capacity int
 	flows    map[common.FiveTuple]*flow
+	// unknownSince holds when a packet first arrived with a label that matches no
+	// known endpoint, at most maxUnknownLabels.
+	unknownSince map[label.Label]time.Duration
 	// resumedAt is when the last pause of the process ended, 0 if there was none.
 	resumedAt time.Duration
 }
@@ -70,6 +74,7 @@
 	for i := range t.shards {
 		t.shards[i].capacity = max(capacity/Shards, 1)
 		t.shards[i].flows = make(map[common.FiveTuple]*flow)
+		t.shards[i].unknownSince = make(map[label.Label]time.Duration)
 	}
 	return t
 }
@@ -192,6 +197,11 @@
 	// unestablishedLifetime is how long a flow is kept that was never established. It
 	// is longer than a caller tries to open a flow.
 	unestablishedLifetime = 3 * time.Second
+	// maxUnknownLabels limits the unknown labels that a shard records, and
+	// unknownLabelLifetime how long it records them. A caller's retransmissions follow
+	// each other sooner.
+	maxUnknownLabels     = 64
+	unknownLabelLifetime = 10 * time.Second
 	// DefaultIdleTimeout is the idle timeout of flows while no configuration sets one.
 	DefaultIdleTimeout = 15 * time.Second
 )
@@ -236,6 +246,7 @@
 	s := &t.shards[index]
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	maps.DeleteFunc(s.unknownSince, func(_ label.Label, since time.Duration) bool { return now-since >= unknownLabelLifetime })
 	for _, f := range s.flows {
 		if f.inFlight && now-f.lastPacketAt >= f.timeout {
 			f.timeOutRequest(now)
