--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -55,6 +55,8 @@
 	stop    chan struct{}
 	// outputOfFirst is where the first daemon writes its log, a file if nil.
 	outputOfFirst *os.File
+	// dropped is set if the next version has no route to doneReport.
+	dropped bool
 
 	mu      sync.Mutex
 	results []result
@@ -114,13 +116,16 @@
 	service := func(name string) map[string]any {
 		return map[string]any{"name": name, wire["check"]: "/health", wire["conns"]: 2000, "protocol": "h1", "tls": false}
 	}
+	routes := []any{
+		route("r-1", planFetch, "idempotent", 1000, 150, 2, crewDesk),
+		route("r-3", layoutPull, "download", 3000, 500, 2, drawingStore),
+	}
+	if !s.dropped {
+		routes = append(routes, route("r-2", doneReport, "non_idempotent", 1200, 200, 1, crewDesk))
+	}
 	spec := map[string]any{
-		"version": s.version,
-		"routes": []any{
-			route("r-1", planFetch, "idempotent", 1000, 150, 2, crewDesk),
-			route("r-2", doneReport, "non_idempotent", 1200, 200, 1, crewDesk),
-			route("r-3", layoutPull, "download", 3000, 500, 2, drawingStore),
-		},
+		"version":  s.version,
+		"routes":   routes,
 		"services": []any{service(crewDesk), service(drawingStore)},
 		"limits":   map[string]any{wire["idle"]: 15000},
 	}
