--- a/review/standin-2/endpoint.go
+++ b/review/standin-2/endpoint.go
@@ -53,7 +53,6 @@
 	health     *http.Server
 	http       *http.Client
 	stop       chan struct{}
-	beats      chan chan int
 
 	mu       sync.Mutex
 	flows    map[end]*served
@@ -103,7 +102,7 @@
 		_ = e.socket.Close()
 		return nil, err
 	}
-	e.born, e.flows, e.stop, e.beats = time.Now().UnixMilli(), map[end]*served{}, make(chan struct{}), make(chan chan int)
+	e.born, e.flows, e.stop = time.Now().UnixMilli(), map[end]*served{}, make(chan struct{})
 	e.packets, e.opened = map[end][]time.Time{}, map[end]time.Time{}
 	e.ended, e.resets = map[end]time.Time{}, map[end][]time.Time{}
 	e.http = &http.Client{Timeout: time.Second}
@@ -149,7 +148,7 @@
 	}
 }
 
-// report writes the endpoint's entry every beat, and at once when asked to.
+// report writes the endpoint's entry every beat.
 func (e *endpoint) report() {
 	for {
 		start := time.Now()
@@ -157,8 +156,6 @@
 		select {
 		case <-e.stop:
 			return
-		case answer := <-e.beats:
-			answer <- e.writeEntry()
 		case <-time.After(time.Until(start.Add(beat))):
 		}
 	}
@@ -179,7 +176,7 @@
 		e.rec.logf("endpoint %s: report %v without an answer: %v", e.id, entry["sequence"], err)
 		return 0
 	}
-	if status == http.StatusOK && entry["state"] == "draining" {
+	if (status == http.StatusOK || status == http.StatusCreated) && entry["state"] == "draining" {
 		e.mu.Lock()
 		if e.reportedDraining.IsZero() {
 			e.reportedDraining = time.Now()
@@ -212,9 +209,7 @@
 	e.draining = true
 	e.mu.Unlock()
 	for range 5 {
-		answer := make(chan int, 1)
-		e.beats <- answer
-		if <-answer == http.StatusOK {
+		if e.writeEntry() == http.StatusOK {
 			return true
 		}
 	}
--- a/review/standin-2/late_report.go
+++ b/review/standin-2/late_report.go
@@ -7,9 +7,9 @@
 // draining, which the store acknowledges; then the held report arrives.
 func lateReport(s *site, trouble bool) (bool, error) {
 	const (
-		cut        = 3600 * time.Millisecond
-		drainAfter = 3720 * time.Millisecond // from the beginning of the cut
-		serves     = 9 * time.Second         // after the report that it drains
+		cut        = 3200 * time.Millisecond
+		drainAfter = 3300 * time.Millisecond // from the beginning of the cut
+		serves     = 4700 * time.Millisecond // after the ack: the bound and a little longer
 	)
 	way, err := startLink(s.rec, s.store.address())
 	if err != nil {
@@ -25,7 +25,8 @@
 	if err := s.addDaemons(); err != nil {
 		return false, err
 	}
-	s.traffic(planFetch, 40, time.Second)
+	s.traffic(planFetch, 70, time.Second)
+	s.traffic(doneReport, 15, 1200*time.Millisecond)
 	time.Sleep(settled + 2*time.Second)
 	s.rec.sayf("endpoint %s is to leave", leaving.id)
 	before := leaving.beatSoon(10 * time.Millisecond)
@@ -39,6 +40,9 @@
 	}
 	acked := leaving.acknowledged()
 	time.Sleep(time.Until(acked.Add(serves)))
+	s.rec.sayf("endpoint %s has left", leaving.id)
+	leaving.close()
+	time.Sleep(5 * time.Second)
 	return s.judgeDrain(leaving, acked), nil
 }
 
@@ -55,5 +59,37 @@
 		}
 	}
 	s.rec.sayf("%d requests ran on %s later than %v after the ack, of %d in all", late, e.id, drainBound, len(e.runs))
+	s.rec.sayf("%d requests were sent in vain in the 6 s after the ack, %d of them had begun to run", s.lostBetween(acked, acked.Add(6*time.Second)), s.cut(e))
 	return late > 0
 }
+
+// lostBetween returns how many requests that were sent in a span got no answer with success.
+func (s *site) lostBetween(from, until time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost := 0
+	for _, r := range s.results {
+		if r.status != 200 && r.sentAt.After(from) && r.sentAt.Before(until) {
+			lost++
+		}
+	}
+	return lost
+}
+
+// cut returns how many requests that an endpoint ran were not answered with success. The caller
+// holds the endpoint's lock.
+func (s *site) cut(e *endpoint) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answered := map[int]bool{}
+	for _, r := range s.results {
+		answered[r.attempt] = r.status == 200
+	}
+	lost := 0
+	for _, r := range e.runs {
+		if good, known := answered[r.attempt]; known && !good {
+			lost++
+		}
+	}
+	return lost
+}
