--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -169,6 +169,7 @@
 // result is the outcome of one request.
 type result struct {
 	attempt int
+	to      end
 	status  int
 	seal    string
 	why     string
@@ -178,7 +179,7 @@
 
 // ask sends one request on a flow and waits for the answer.
 func (h *host) ask(f *flow, limit time.Duration) result {
-	res := result{attempt: int(lastAttempt.Add(1)), sentAt: time.Now()}
+	res := result{attempt: int(lastAttempt.Add(1)), to: f.remote, sentAt: time.Now()}
 	request := fmt.Sprintf("GET /plan HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %d\r\n\r\n", f.remote.Addr(), res.attempt)
 	h.rec.logf("client %s: sends attempt %d to %s", f.local, res.attempt, f.remote)
 	h.mu.Lock()
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -24,7 +24,7 @@
 var scenarios = map[string]func(s *site, trouble bool) (bool, error){
 	"late-report":   lateReport,
 	"other-writer":  otherWriter,
-	"moved-store":   movedStore,
+	"deep-entry":    deepEntry,
 	"full-log":      fullLog,
 	"second-answer": secondAnswer,
 }
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -111,7 +113,7 @@
 		if exists && sameButSequence(current.Spec, spec) {
 			return current
 		}
-		s.rec.logf("store: %s/%s = %s", kind, name, spec)
+		s.rec.logf("store: %s/%s = %.300s", kind, name, spec)
 	}
 	if exists && string(current.Spec) == string(spec) {
 		return current
@@ -181,7 +183,47 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(answer)
+	_, _ = w.Write(encodeAnswer(answer))
+}
+
+// encodeAnswer encodes an answer. What writers have put into spec passes as it is, like in a
+// store that does not look into it.
+func encodeAnswer(answer any) []byte {
+	switch a := answer.(type) {
+	case object:
+		head, _ := json.Marshal(a.Meta)
+		return slices.Concat([]byte(`{"meta":`), head, []byte(`,"spec":`), a.Spec, []byte(`,"status":null}`))
+	case change:
+		return slices.Concat(fmt.Appendf(nil, `{"deleted":%v,"object":`, a.Deleted), encodeAnswer(a.Object), []byte("}"))
+	case []object:
+		return encodeList(a)
+	case []change:
+		return encodeList(a)
+	case map[string]any:
+		var fields [][]byte
+		for name, value := range a {
+			fields = append(fields, slices.Concat(fmt.Appendf(nil, "%q:", name), encodeAnswer(value)))
+		}
+		return slices.Concat([]byte("{"), bytes.Join(fields, []byte(",")), []byte("}"))
+	default:
+		plain, _ := json.Marshal(a)
+		return plain
+	}
+}
+
+func encodeList[T any](list []T) []byte {
+	parts := make([][]byte, len(list))
+	for i := range list {
+		parts[i] = encodeAnswer(list[i])
+	}
+	return slices.Concat([]byte("["), bytes.Join(parts, []byte(",")), []byte("]"))
+}
+
+// putRaw stores what another writer has put, whatever its content.
+func (s *store) putRaw(kind, name string, spec []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(kind, name, spec)
 }
 
 func (s *store) list(kind, after string) (int, any) {
