--- a/review/standin-2/deep_entry.go
+++ b/review/standin-2/deep_entry.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// configBound is config_apply_ms of the small installations.
+	// configBound is the bound of the small installations for a configuration to be in force.
 	configBound = 3 * time.Second
 	// recoveryBound is recovery_s of the small installations.
 	recoveryBound = 12 * time.Second
