--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -5,13 +5,12 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"net/netip"
 )
 
 const openLimit = 1400 * time.Millisecond
