--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -220,14 +221,14 @@
 	return nil
 }
 
-// list returns the registrations of all instances.
+// list returns the registrations of all instances, without objects that have no name.
 func (r *Registry) list(ctx context.Context) ([]objectstore.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	objects, _, err := objectstore.ListAll(func(after string) (objectstore.Page, error) {
 		return r.Store.List(ctx, instanceKind, after)
 	})
-	return objects, err
+	return slices.DeleteFunc(objects, func(o objectstore.Object) bool { return o.Name == "" }), err
 }
 
 // removeExpired removes the registrations of other instances that have not changed for
--- a/internal/objectstore/objectstore.go
+++ b/internal/objectstore/objectstore.go
@@ -13,6 +13,8 @@
 // Object is one object with its encoded content.
 type Object struct {
 	Kind string
+	// Name is empty for an object of a list whose name or revision the response does not
+	// show.
 	Name string
 	// Revision is the store revision of the object's last change, in the era in which
 	// the object was read.
@@ -49,8 +51,20 @@
 		if !page.More || len(page.Objects) == 0 {
 			return objects, at, nil
 		}
-		after = objects[len(objects)-1].Name
+		if after = page.lastName(); after == "" {
+			return nil, common.Revision{}, resultcode.Errorf(resultcode.PlatformBadAnswer, "a page without a name at which the list continues")
+		}
+	}
+}
+
+// lastName returns the name of the last object that has one, empty if there is none.
+func (p *Page) lastName() string {
+	for i := len(p.Objects) - 1; i >= 0; i-- {
+		if p.Objects[i].Name != "" {
+			return p.Objects[i].Name
+		}
 	}
+	return ""
 }
 
 // RestoredError returns the error of a read of several parts during which the store was
