Decode each object of the product's own object API on its own

One object of another program that encoding/json refuses, in its spec, its status, a label or an unknown field, hid all releases, drains or instances of its collection.

Lists, objects and events are split with rawjson. The controllers decode each spec on its own already, and log those that they cannot decode.

TestForeignObjectLeavesCollectionReadable fails before the change in all its cases ("exceeded max depth", the watch never sees the object).

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -46,7 +46,7 @@
 
 // list makes one attempt to list a collection.
 func (c *Client) list(ctx context.Context, collection string) (*List, error) {
-	list, header, err := call[List](ctx, c, http.MethodGet, "list", collection, "", nil)
+	list, header, err := call(ctx, c, http.MethodGet, "list", collection, "", nil, decodeList)
 	if err != nil {
 		return nil, err
 	}
@@ -77,7 +77,7 @@
 // Delete removes an object. It is not retried: an error with the code
 // PlatformUncertain means that the removal may have taken effect.
 func (c *Client) Delete(ctx context.Context, collection, name string) error {
-	_, _, err := call[Failure](ctx, c, http.MethodDelete, "delete", collection, name, nil)
+	_, _, err := call(ctx, c, http.MethodDelete, "delete", collection, name, nil, decodeObject)
 	return err
 }
 
@@ -94,7 +94,7 @@
 
 // callObject sends a request for one object.
 func (c *Client) callObject(ctx context.Context, method, verb, collection, name string, object *Object) (*Object, error) {
-	result, header, err := call[Object](ctx, c, method, verb, collection, name, object)
+	result, header, err := call(ctx, c, method, verb, collection, name, object, decodeObject)
 	if err != nil {
 		return nil, err
 	}
@@ -102,14 +102,19 @@
 	return result, nil
 }
 
+// decoder decodes the body of a response.
+type decoder[T any] func(body []byte) (*T, error)
+
 // call sends a request and decodes the response, which it returns with its header. The
 // error names the verb and object.
-func call[T any](ctx context.Context, c *Client, method, verb, collection, name string, object *Object) (*T, http.Header, error) {
+func call[T any](
+	ctx context.Context, c *Client, method, verb, collection, name string, object *Object, decode decoder[T],
+) (*T, http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	result, header, err := attempt[T](ctx, c, &objectstore.Call{
+	result, header, err := attempt(ctx, c, &objectstore.Call{
 		Method: method, Verb: verb, Kind: collection, URL: c.requestURL(collection, name, nil),
-	}, object)
+	}, object, decode)
 	if err != nil {
 		return nil, nil, fmt.Errorf("%s %s %s: %w", verb, collection, name, err)
 	}
@@ -118,7 +123,9 @@
 
 // attempt sends a request once. The error has the code PlatformUncertain when a
 // write may have taken effect.
-func attempt[T any](ctx context.Context, c *Client, call *objectstore.Call, object *Object) (*T, http.Header, error) {
+func attempt[T any](
+	ctx context.Context, c *Client, call *objectstore.Call, object *Object, decode decoder[T],
+) (*T, http.Header, error) {
 	if object != nil {
 		encoded, err := json.Marshal(object)
 		if err != nil {
@@ -133,11 +140,11 @@
 	if response.Status >= http.StatusMultipleChoices {
 		return nil, nil, statusError(call.Method, response.Status, response.Content)
 	}
-	var result T
-	if err := json.Unmarshal(response.Content, &result); err != nil {
+	result, err := decode(response.Content)
+	if err != nil {
 		return nil, nil, objectstore.DecodeError(call.Method, err)
 	}
-	return &result, response.Header, nil
+	return result, response.Header, nil
 }
 
 // statusError returns the error for an unsuccessful response.
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -98,8 +98,8 @@
 	scanner := bufio.NewScanner(response.Body)
 	scanner.Buffer(nil, maxEventBytes)
 	for scanner.Scan() {
-		var event Event
-		if err := json.Unmarshal(scanner.Bytes(), &event); err != nil {
+		event, err := decodeEvent(scanner.Bytes())
+		if err != nil {
 			return version, resultcode.Errorf(resultcode.PlatformBadAnswer, "decode watch event: %w", err)
 		}
 		next, err := handleEvent(event, handler)
@@ -120,12 +120,12 @@
 		_ = json.Unmarshal(event.Object, &details)
 		return "", statusError(http.MethodGet, details.Code, event.Object)
 	}
-	var object Object
-	if err := json.Unmarshal(event.Object, &object); err != nil {
+	object, err := decodeObject(event.Object)
+	if err != nil {
 		return "", resultcode.Errorf(resultcode.PlatformBadAnswer, "decode object of watch event: %w", err)
 	}
 	if event.Type != Bookmark {
-		handler.Change(event.Type, &object)
+		handler.Change(event.Type, object)
 	}
 	return object.Metadata.ResourceVersion, nil
 }
