Go on reading the store after the result of a read is lost

The scheduler now counts a read, and a query to a peer, without a result as failed after a time. The end of a read and its hedge timer no longer rely on each other: the loop takes the first result of a read. Reads without progress are given up, and a ticker wakes the loop. A hedge that fires after the success of its read no longer marks the store as lost. Log lines and metrics show when the last read ended.

--- a/internal/decision/freshness/freshness.go
+++ b/internal/decision/freshness/freshness.go
@@ -36,6 +36,10 @@
 	// OutageAge is the age from which the next confirmation counts as the end of an
 	// outage of the store.
 	OutageAge time.Duration
+	// ReadTimeout and QueryTimeout are how long a read and a query may go without a result
+	// before they count as failed, so that a result that is never reported does not end
+	// reading. EmptyReadTimeout replaces ReadTimeout while the cache is empty.
+	ReadTimeout, EmptyReadTimeout, QueryTimeout time.Duration
 }
 
 const (
@@ -83,6 +87,15 @@
 	minLongReadDelay = 500 * time.Millisecond
 	longReadSpacing  = 50 * time.Millisecond
 	maxLongReadDelay = 5 * time.Second
+	// minReadTimeout is longer than the time after which a caller reports a read that has no
+	// response yet.
+	minReadTimeout = 600 * time.Millisecond
+	// emptyReadTimeout is longer than maxLongReadDelay and the read of a page after it.
+	emptyReadTimeout = 10 * time.Second
+	// minQueryTimeout and the apply deadline divided by queryTimeoutDivisor are longer than
+	// the time after which a caller gives up a query.
+	minQueryTimeout     = 3 * time.Second
+	queryTimeoutDivisor = 5
 )
 
 // SettingsFor returns the settings for an apply deadline: the maximum time between a change
@@ -98,6 +111,9 @@
 		MaxReadBackoff:     interval,
 		GossipInterval:     gossipIntervals * interval,
 		OutageAge:          max(minOutageAge, interval*5/4),
+		ReadTimeout:        max(minReadTimeout, interval),
+		EmptyReadTimeout:   emptyReadTimeout,
+		QueryTimeout:       max(minQueryTimeout, applyDeadline/queryTimeoutDivisor),
 	}
 }
 
@@ -123,11 +139,13 @@
 	readFailures   int
 	lastReadFailed bool
 	nextRead       time.Duration
-	queriedPeer    string
-	nextQuery      time.Duration
-	nextGossip     time.Duration
-	random         *rand.Rand
-	queryIsGossip  bool
+	// queriedPeer is the peer with a query in flight since queriedAt, "" if there is none.
+	queriedPeer   string
+	queriedAt     time.Duration
+	nextQuery     time.Duration
+	nextGossip    time.Duration
+	random        *rand.Rand
+	queryIsGossip bool
 	// queriedReader is set if the last query with an empty cache went to the reader.
 	queriedReader bool
 	// failedQueries counts the queries since the last fresh result.
@@ -158,17 +176,28 @@
 	return max(now-s.confirmedAt, 0), s.cacheFilled
 }
 
+// ReadOverdue reports whether the cache is so old that a read should have ended since a
+// time, the end of the last read.
+func (s *Scheduler) ReadOverdue(lastEnd, now time.Duration) bool {
+	age, filled := s.Age(now)
+	return filled && min(age, now-lastEnd) > s.settings.MaxAge+s.settings.ReadTimeout+s.settings.MaxReadBackoff
+}
+
 // Step is what to do now: read the store if Read is set, and query the peer Query if it is
 // not "". Next must be called again at Wake at the latest.
 type Step struct {
 	Read  bool
 	Query string
 	Wake  time.Duration
+	// ReadLost is set if the last read counts as failed now because its result is missing.
+	ReadLost bool
 }
 
 // Next returns what to do now and assumes that the caller does it.
 func (s *Scheduler) Next(now time.Duration) Step {
 	step := Step{Wake: now + s.settings.Interval}
+	s.expireQuery(now)
+	step.ReadLost = s.expireRead(now)
 	reader := s.reader(now)
 	if s.nextGossip == 0 {
 		s.nextGossip = now + s.settings.GossipInterval
@@ -187,6 +216,7 @@
 
 func (s *Scheduler) planRead(step *Step, isReader bool, now time.Duration) {
 	if s.reading {
+		step.Wake = min(step.Wake, s.readExpiry())
 		return
 	}
 	due := s.readDue(isReader)
@@ -199,6 +229,23 @@
 	step.Read = true
 }
 
+// readExpiry returns when the read in flight counts as failed.
+func (s *Scheduler) readExpiry() time.Duration {
+	if !s.cacheFilled {
+		return s.readStartedAt + s.settings.EmptyReadTimeout
+	}
+	return s.readStartedAt + s.settings.ReadTimeout
+}
+
+// expireRead ends a read whose result is missing, and reports whether there is one.
+func (s *Scheduler) expireRead(now time.Duration) bool {
+	if !s.reading || now < s.readExpiry() {
+		return false
+	}
+	s.ReadDone(now, false)
+	return true
+}
+
 func (s *Scheduler) readDue(isReader bool) time.Duration {
 	switch {
 	case s.noReadYet && !s.cacheFilled:
--- a/internal/decision/freshness/query.go
+++ b/internal/decision/freshness/query.go
@@ -10,7 +10,7 @@
 	}
 	s.nextGossip = now + s.settings.GossipInterval
 	if step.Query = s.randomPeer(now); step.Query != "" {
-		s.queriedPeer, s.queryIsGossip = step.Query, true
+		s.queriedPeer, s.queriedAt, s.queryIsGossip = step.Query, now, true
 	}
 }
 
@@ -39,11 +39,18 @@
 		step.Query = s.randomPeer(now)
 	}
 	if step.Query != "" {
-		s.queriedPeer = step.Query
+		s.queriedPeer, s.queriedAt = step.Query, now
 		s.nextQuery = now + emptyQueryInterval
 	}
 }
 
+// expireQuery ends a query whose result is missing.
+func (s *Scheduler) expireQuery(now time.Duration) {
+	if s.queriedPeer != "" && now >= s.queriedAt+s.settings.QueryTimeout {
+		s.QueryDone(now, s.queriedPeer, NoResponse, 0)
+	}
+}
+
 // queryDue reports whether the next query may be sent now. If not, and if no query is in
 // flight, it sets the step's wake-up time to the time of the next query.
 func (s *Scheduler) queryDue(step *Step, now time.Duration) bool {
@@ -61,7 +68,7 @@
 	if !s.queryDue(step, now) {
 		return
 	}
-	s.queriedPeer = reader
+	s.queriedPeer, s.queriedAt = reader, now
 	s.nextQuery = now + s.settings.Interval
 	step.Query = reader
 }
--- a/internal/discovery/metrics.go
+++ b/internal/discovery/metrics.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -19,6 +20,11 @@
 	evacuationLag prometheus.Histogram
 	// storeEra and storeNumber are the parts of the store's revision at the last read.
 	storeEra, storeNumber prometheus.Gauge
+	// lastReadOK and lastReadFailed are when reads last ended with that result, in
+	// nanoseconds of the cache's clock, 0 for never.
+	lastReadOK, lastReadFailed atomic.Int64
+	readsInFlight              prometheus.Gauge
+	lostReads                  prometheus.Counter
 }
 
 // callBuckets are the upper bounds of the latency buckets, in seconds.
@@ -52,8 +58,15 @@
 		storeNumber: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "burdock_store_last_revision", Help: "Revision of the store within its era at the last read of this instance.",
 		}),
+		readsInFlight: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "burdock_store_reads_in_flight", Help: "Reads of the store that have not ended.",
+		}),
+		lostReads: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "burdock_store_reads_lost_total", Help: "Reads of the store that were given up without a result.",
+		}),
 	}
-	registry.MustRegister(m.reads, m.readSeconds, m.queries, m.querySeconds, m.deferred, m.evacuationLag, m.storeEra, m.storeNumber, pools{cache},
+	registry.MustRegister(m.reads, m.readSeconds, m.queries, m.querySeconds, m.deferred, m.evacuationLag, m.storeEra, m.storeNumber,
+		m.readsInFlight, m.lostReads, lastReads{m, cache}, pools{cache},
 		gauge("burdock_knowledge_age_seconds", "Time since the store confirmed what the instance knows.", func() float64 {
 			now := cache.Now()
 			_, fresh := cache.Current(now)
@@ -78,6 +91,33 @@
 	return m
 }
 
+// lastReads is a collector of the times since reads of the store last ended.
+type lastReads struct {
+	metrics *Metrics
+	cache   *Cache
+}
+
+var lastReadDesc = prometheus.NewDesc("burdock_store_last_read_seconds",
+	"Time since a read of the store last ended, by result (ok, failed); missing before the first one.", []string{"result"}, nil)
+
+// Describe implements prometheus.Collector.
+func (lastReads) Describe(descriptions chan<- *prometheus.Desc) { descriptions <- lastReadDesc }
+
+// Collect implements prometheus.Collector.
+func (r lastReads) Collect(metrics chan<- prometheus.Metric) {
+	now := r.cache.Now()
+	for _, ok := range []bool{true, false} {
+		endedAt := r.metrics.lastReadFailed.Load()
+		if ok {
+			endedAt = r.metrics.lastReadOK.Load()
+		}
+		if endedAt != 0 {
+			since := (now - time.Duration(endedAt)).Seconds()
+			metrics <- prometheus.MustNewConstMetric(lastReadDesc, prometheus.GaugeValue, since, resultLabel(ok))
+		}
+	}
+}
+
 // pools is a collector of the state of the services' endpoints.
 type pools struct {
 	cache *Cache
@@ -133,7 +173,13 @@
 	return "failed"
 }
 
-func (m *Metrics) read(ok bool, took time.Duration) {
+// read counts a read that ended at the time now.
+func (m *Metrics) read(ok bool, now, took time.Duration) {
+	if ok {
+		m.lastReadOK.Store(int64(now))
+	} else {
+		m.lastReadFailed.Store(int64(now))
+	}
 	m.reads.WithLabelValues(resultLabel(ok)).Inc()
 	m.readSeconds.Observe(took.Seconds())
 }
--- a/internal/discovery/reads.go
+++ b/internal/discovery/reads.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,24 +29,24 @@
 	// history, such a read gets no response.
 	changesTimeoutFactor = 4
 	minChangesTimeout    = 200 * time.Millisecond
-	// longReadThreshold is the duration after which the read of a list counts as long.
-	// It is enough for thousands of entries unless all instances read at once.
-	longReadThreshold = 500 * time.Millisecond
-	// longReadPollInterval is the time between two checks of whether a long read is
-	// still needed.
-	longReadPollInterval = 25 * time.Millisecond
+	// stuckReadTimeout is the time without progress after which a read is given up although
+	// none of its own timeouts has ended it. It is longer than the wait of a long read for
+	// peers and the read of a page after it.
+	stuckReadTimeout = 10 * time.Second
 )
 
 var (
 	// errNoResponseYet is the error reported for a read that has not ended within
 	// hedgeDelay.
 	errNoResponseYet = resultcode.Errorf(resultcode.PlatformUnreachable, "no response from the store yet")
+	// errReadLost is the error reported for a read whose result is missing.
+	errReadLost = resultcode.Errorf(resultcode.PlatformUnreachable, "no result of a read of the store")
 	// errReadNotNeeded ends the read of a long list if its content has been received
 	// from a peer, or if another read is already reading it.
 	errReadNotNeeded = errors.New("the list is no longer needed")
 )
 
-// read is one read of the store.
+// read is one read of the store. Only the loop of the syncer uses reported.
 type read struct {
 	syncer    *Syncer
 	startedAt time.Duration
@@ -54,6 +55,11 @@
 	full, uninitialized bool
 	// revision is the revision of the store, zero if the read has not returned it.
 	revision common.Revision
+	// reported is set once the scheduler has been told the result.
+	reported bool
+	// progressAt is when the read last got a page, in nanoseconds of the cache's clock.
+	progressAt atomic.Int64
+	cancel     context.CancelFunc
 	// timeout cancels the read. hedge allows another read to start concurrently.
 	timeout, hedge *time.Timer
 
@@ -66,42 +72,49 @@
 // reported to the scheduler as failed, and as successful if it succeeds later.
 func (s *Syncer) startRead(ctx context.Context) {
 	now := s.cache.Now()
-	if s.activeReads >= maxConcurrentReads {
+	if len(s.reads) >= maxConcurrentReads {
 		s.scheduler.ReadDone(now, false)
 		return
 	}
 	r := &read{syncer: s, startedAt: now, full: now < s.fullReadsUntil, uninitialized: !s.cache.HasConfiguration()}
+	r.progressAt.Store(int64(now))
 	hedge := hedgeDelay
 	if r.uninitialized {
 		// While all instances start, even the first page of a long list may take long.
-		hedge <<= s.activeReads
+		hedge <<= len(s.reads)
 	}
-	s.activeReads++
 	readCtx, cancel := context.WithCancel(ctx)
+	r.cancel = cancel
+	s.reads[r], s.latestRead = struct{}{}, r
+	s.metrics.readsInFlight.Set(float64(len(s.reads)))
 	r.timeout = time.AfterFunc(pageTimeout, cancel)
 	r.hedge = time.AfterFunc(hedge, func() {
-		// The read counts on this event, so it is posted even if the read has timed out too, as
-		// after a pause of the process.
-		s.post(ctx, func() {
-			s.scheduler.ReadDone(s.cache.Now(), false)
-			s.logStoreState(errNoResponseYet, hedge)
-		})
+		// Posted even if the read has timed out too, as after a pause of the process.
+		s.post(ctx, func() { s.reportRead(r, errNoResponseYet) })
 	})
 	go func() {
 		defer cancel()
 		update, incomplete, err := r.fetch(readCtx)
 		r.timeout.Stop()
-		inTime := r.hedge.Stop()
-		s.post(ctx, func() { s.finishRead(r, update, incomplete, inTime, err) })
+		// The hedge ends with finishRead: until then it makes up for a result that is lost.
+		s.post(ctx, func() { s.finishRead(r, update, incomplete, err) })
 	}()
 }
 
-func (s *Syncer) finishRead(r *read, update directory.Update, incomplete, inTime bool, err error) {
-	now := s.cache.Now()
-	s.activeReads--
-	if r.long {
-		s.longReadActive.Store(false)
+// reportRead tells the scheduler the result of a read: a success, or the first failure.
+func (s *Syncer) reportRead(r *read, err error) {
+	if r.reported && err != nil {
+		return
 	}
+	r.reported = true
+	now := s.cache.Now()
+	s.scheduler.ReadDone(now, err == nil)
+	s.logStoreState(err, now-r.startedAt)
+}
+
+func (s *Syncer) finishRead(r *read, update directory.Update, incomplete bool, err error) {
+	s.forgetRead(r)
+	now := s.cache.Now()
 	if incomplete {
 		s.fullReadsUntil = now + fullReadsAfterIncomplete
 	}
@@ -110,17 +123,52 @@
 		// The store has responded, so the read counts as successful.
 		err = nil
 	}
-	s.metrics.read(err == nil, now-r.startedAt)
+	s.reportRead(r, err)
+	s.readEnded(err == nil, now, now-r.startedAt)
 	s.logStoreRevision(r.revision)
-	if err == nil || inTime || r.long {
-		s.scheduler.ReadDone(now, err == nil)
-		s.logStoreState(err, now-r.startedAt)
-	}
 	if complete {
 		s.apply(update, Provenance{ConfirmedAt: r.startedAt, FromStore: true}, "store")
 	}
 }
 
+// forgetRead removes a read from those in flight. It may be called more than once.
+func (s *Syncer) forgetRead(r *read) {
+	if _, found := s.reads[r]; !found {
+		return
+	}
+	delete(s.reads, r)
+	s.metrics.readsInFlight.Set(float64(len(s.reads)))
+	r.hedge.Stop()
+	if r.isLong() {
+		s.longReadActive.Store(false)
+	}
+}
+
+// giveUpStuckReads ends reads that have made no progress for stuckReadTimeout, so that they
+// do not occupy the places of others.
+func (s *Syncer) giveUpStuckReads(now time.Duration) {
+	for r := range s.reads {
+		progress := time.Duration(r.progressAt.Load())
+		if now-progress < stuckReadTimeout {
+			continue
+		}
+		s.metrics.lostReads.Inc()
+		s.logger.Warn("store_read_stuck", zap.Duration("took", now-r.startedAt), zap.Duration("without_progress", now-progress))
+		r.cancel()
+		s.forgetRead(r)
+		s.reportRead(r, errReadLost)
+	}
+}
+
+// readLost handles a read whose result the scheduler has missed.
+func (s *Syncer) readLost(now time.Duration) {
+	s.metrics.lostReads.Inc()
+	s.logger.Warn("store_read_lost", zap.Duration("took", now-s.latestRead.startedAt), zap.Duration("since_last_read", now-s.readEndedAt),
+		zap.Int("in_flight", len(s.reads)))
+	s.latestRead.reported = true
+	s.logStoreState(errReadLost, now-s.latestRead.startedAt)
+}
+
 // fetch returns the changes in the store, or an empty update if its revision has not
 // changed. incomplete is set if a snapshot had to be read because the changes were
 // incomplete.
@@ -136,6 +184,7 @@
 	if err != nil {
 		return update, false, err
 	}
+	r.progressed()
 	switch {
 	case r.revision == at:
 		return directory.Update{Since: at, CompleteAt: at}, false, nil
@@ -158,71 +207,11 @@
 	return update, !r.full, err
 }
 
+// progressed records that the store has responded.
+func (r *read) progressed() { r.progressAt.Store(int64(r.syncer.cache.Now())) }
+
 func (s *Syncer) changes(ctx context.Context, timeout time.Duration, since common.Revision) (directory.Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return s.source.Changes(ctx, since)
 }
-
-// proceed is called before each page of a list after the first. While the cache has no
-// configuration, only one read at a time continues with a long list, and first waits
-// for a peer to send the content: several concurrent long reads would slow each other
-// down until none completes.
-func (r *read) proceed(ctx context.Context) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.uninitialized || !r.long && r.syncer.cache.Now() < r.startedAt+longReadThreshold {
-		r.timeout.Reset(pageTimeout)
-		return ctx.Err()
-	}
-	if !r.long {
-		if !r.syncer.longReadActive.CompareAndSwap(false, true) {
-			return errReadNotNeeded
-		}
-		r.long = true
-		r.hedge.Stop()
-		r.timeout.Stop()
-		if err := r.waitForPeers(ctx); err != nil {
-			return err
-		}
-	}
-	if r.syncer.cache.HasConfiguration() {
-		return errReadNotNeeded
-	}
-	r.timeout.Reset(pageTimeout)
-	return ctx.Err()
-}
-
-// waitForPeers waits until it is the instance's turn to read a long list, or until a
-// peer has sent its content.
-func (r *read) waitForPeers(ctx context.Context) error {
-	poll := time.NewTicker(longReadPollInterval)
-	defer poll.Stop()
-	for !r.syncer.cache.HasConfiguration() {
-		if r.mayContinue(ctx) {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-poll.C:
-		}
-	}
-	return nil
-}
-
-// mayContinue reports whether the scheduler allows the read to continue now.
-func (r *read) mayContinue(ctx context.Context) bool {
-	s := r.syncer
-	result := make(chan bool, 1)
-	s.post(ctx, func() {
-		now := s.cache.Now()
-		result <- now >= r.startedAt+s.scheduler.LongReadDelay(now)
-	})
-	select {
-	case <-ctx.Done():
-		return false
-	case mayContinue := <-result:
-		return mayContinue
-	}
-}
--- a/internal/discovery/syncer.go
+++ b/internal/discovery/syncer.go
@@ -34,6 +34,8 @@
 	// The response timeout of queries to peers is the maximum time between a change in the
 	// store and its effect, divided by peerTimeoutDivisor.
 	peerTimeoutDivisor = 10
+	// wakeInterval is the maximum time between two rounds of the loop.
+	wakeInterval = 5 * time.Second
 )
 
 // Syncer keeps an instance's cache up to date.
@@ -49,10 +51,14 @@
 	events chan func()
 	// restores holds a value if the store was restored since it was last received.
 	restores chan struct{}
-	// activeReads is the number of reads in progress. longReadActive is set while one
-	// of them reads a long list.
-	activeReads    int
+	// reads are the reads in flight, latestRead is the last one that was started.
+	// longReadActive is set while one of them reads a long list.
+	reads          map[*read]struct{}
+	latestRead     *read
 	longReadActive atomic.Bool
+	// readEndedAt is when a read last ended, or when the syncer was created. overdueLogAt
+	// is the earliest time at which a read that is overdue is logged.
+	readEndedAt, overdueLogAt time.Duration
 	// fullReadsUntil is the time until which snapshots are read instead of changes.
 	fullReadsUntil time.Duration
 	storeUp        bool
@@ -75,6 +81,7 @@
 		scheduler: freshness.NewScheduler(self, freshness.SettingsFor(applyDeadline)),
 		cache:     cache, peers: peers, source: source,
 		metrics: metrics, logger: logger,
+		reads: make(map[*read]struct{}), readEndedAt: cache.Now(),
 		events: make(chan func(), 64), restores: make(chan struct{}, 1), storeUp: true, seedsQueriedAt: -seedInterval,
 	}
 	s.client.Store(newPeerClient(applyDeadline / peerTimeoutDivisor))
@@ -85,8 +92,13 @@
 func (s *Syncer) Run(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	// The ticker wakes the loop even if the timer does not.
+	ticker := time.NewTicker(wakeInterval)
+	defer ticker.Stop()
 	for {
 		now := s.cache.Now()
+		s.giveUpStuckReads(now)
+		s.logOverdueRead(now)
 		querySeeds := s.querySeeds(ctx, now)
 		s.prunePeers(now)
 		step := s.scheduler.Next(now)
@@ -104,6 +116,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
+		case <-ticker.C:
 		case event := <-s.events:
 			event()
 		}
@@ -120,6 +133,9 @@
 }
 
 func (s *Syncer) start(ctx context.Context, step freshness.Step) {
+	if step.ReadLost {
+		s.readLost(s.cache.Now())
+	}
 	if step.Read {
 		s.startRead(ctx)
 	}
--- a/internal/discovery/syncer_apply.go
+++ b/internal/discovery/syncer_apply.go
@@ -50,12 +50,13 @@
 	if confirmed, known := s.scheduler.Age(s.cache.Now()); known {
 		age = zap.Duration("age", confirmed)
 	}
+	sinceRead := zap.Duration("since_last_read", s.cache.Now()-s.readEndedAt)
 	if up {
-		s.logger.Info("store_regained", zap.Duration("took", took), age)
+		s.logger.Info("store_regained", zap.Duration("took", took), age, sinceRead)
 		return
 	}
 	code, _ := resultcode.Of(err)
-	s.logger.Warn("store_lost", zap.Uint32("result_code", uint32(code)), zap.Duration("took", took), age, zap.Error(err))
+	s.logger.Warn("store_lost", zap.Uint32("result_code", uint32(code)), zap.Duration("took", took), age, sinceRead, zap.Error(err))
 }
 
 // logStoreRevision logs the revision of the store at a read.
