Limit the durations that a peer sends

An age of 9.3e15 us, or another duration that overflows, gave a time in the far future: the cache seemed to be confirmed for ever, and an instance that is not a reader did not read the store any more. One such response was enough. Durations of peers are limited to the range of their type.

TestAgeOutOfRangeDoesNotEndReading fails before the change ("no read is due").

--- a/internal/discovery/convert.go
+++ b/internal/discovery/convert.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"math"
 	"net/netip"
 	"time"
 
@@ -132,6 +133,13 @@
 	return c
 }
 
+// fromMicroseconds returns a duration sent by a peer, limited to the range of its type: one
+// that overflows would lie in the future.
+func fromMicroseconds(us uint64) time.Duration {
+	const most = uint64(math.MaxInt64 / time.Microsecond)
+	return time.Duration(min(us, most)) * time.Microsecond
+}
+
 // ceilMilliseconds returns a duration in milliseconds, rounded up: a warm-up must not end
 // early on the receiver.
 func ceilMilliseconds(d time.Duration) int64 {
@@ -165,7 +173,7 @@
 		MissingAt: common.Revision{Era: wire.MissingEra, Number: wire.MissingAt},
 	}
 	if r.Missing() {
-		r.MissingSince = now - time.Duration(wire.MissingUs)*time.Microsecond
+		r.MissingSince = now - fromMicroseconds(wire.MissingUs)
 	}
 	return r
 }
--- a/internal/discovery/pause_test.go
+++ b/internal/discovery/pause_test.go
@@ -12,8 +12,10 @@
 	"go.uber.org/zap"
 
 	"burdockrelay.example/burdockrelay/common"
+	"burdockrelay.example/burdockrelay/internal/decision/freshness"
 	"burdockrelay.example/burdockrelay/internal/directory"
 	"burdockrelay.example/burdockrelay/internal/propertytest"
+	"burdockrelay.example/burdockrelay/proto/syncpb"
 )
 
 // pausingSource is a store as a process sees it that is paused now and then: a call that is
@@ -241,3 +243,26 @@
 		t.Error("the store counts as lost")
 	}
 }
+
+// Guards against an instance that does not read the store any more because a peer sent an
+// age that is out of range: the cache then seems to be confirmed in the future.
+func TestAgeOutOfRangeDoesNotEndReading(t *testing.T) {
+	for _, us := range []uint64{1 << 63, 1<<64 - 1, 9_300_000_000_000_000} {
+		cache, peers := newTestCache(), NewPeers(Peer{Name: "entry-1"}, nil)
+		s := NewSyncer("entry-1", 3*time.Second, cache, peers, nil, NewMetrics(prometheus.NewRegistry(), cache, peers), zap.NewNop())
+		s.scheduler.SetPeers([]string{"entry-2", "entry-3", "entry-4", "entry-5"})
+		if s.scheduler.Readers(0)[0] == "entry-1" {
+			t.Fatal("a reader reads whatever the age of its cache")
+		}
+		configuration, err := encodeConfiguration(&directory.Configuration{Version: 1, Revision: common.Revision{Number: 1}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.handleResponse("entry-2", &syncpb.FetchResponse{
+			Known: true, Reads: true, AgeUs: us, ReturnedUs: us, Full: true, EndpointsRevision: 1, Configuration: configuration,
+		}, nil, cache.Now())
+		if now := cache.Now() + 2*freshness.SettingsFor(3*time.Second).MaxAge; !s.scheduler.Next(now).Read {
+			t.Errorf("age of %d us: no read is due", us)
+		}
+	}
+}
--- a/internal/discovery/syncer_peers.go
+++ b/internal/discovery/syncer_peers.go
@@ -45,7 +45,7 @@
 		return
 	}
 	s.addPeers(response.Peers, now)
-	age := time.Duration(response.AgeUs) * time.Microsecond
+	age := fromMicroseconds(response.AgeUs)
 	if !response.Known {
 		s.scheduler.QueryDone(now, name, freshness.Empty, 0)
 		return
@@ -58,7 +58,7 @@
 	s.scheduler.QueryDone(now, name, result, age)
 	provenance := Provenance{ConfirmedAt: queried - age}
 	if response.ReturnedUs > 0 {
-		provenance.RecoveredAt = queried - time.Duration(response.ReturnedUs)*time.Microsecond
+		provenance.RecoveredAt = queried - fromMicroseconds(response.ReturnedUs)
 	}
 	update, err := updateFromWire(response, now)
 	if err != nil {
