Keep a late heartbeat from replacing a newer entry of its endpoint

A heartbeat, `ready`, had been held up on its way to the store and was executed 2.9 s after the drain. Entries of an endpoint were ordered by the store's revision, the order of execution; their start time and sequence were compared only after a restore.

An entry of the same incarnation with a lower sequence is now kept beside the one in use, like an older entry of a restored copy, and replaces it only if the store still lists it 8 s later. Peers get both. Entries with another start time, service or address are ordered by revision as before, so an endpoint that has started again, or one whose entry another program has replaced, is not ignored. A log line and a counter report late entries.

--- a/internal/directory/catalog.go
+++ b/internal/directory/catalog.go
@@ -17,9 +17,8 @@
 	// first learned that the endpoint is missing.
 	MissingAt    common.Revision
 	MissingSince time.Duration
-	// deferred is an older entry of the endpoint that a restored store lists; see
-	// restoreGrace. It is nil if there is none.
-	deferred *Endpoint
+	// deferred is an older entry of the endpoint that the store lists, nil if there is none.
+	deferred *deferredEntry
 }
 
 // Missing reports whether the store no longer lists the endpoint.
@@ -42,6 +41,12 @@
 	r.deferred = nil
 }
 
+// LateEntry is an entry of an endpoint whose write the store has executed after that of a
+// later entry, which stays in use.
+type LateEntry struct {
+	Late, InUse Endpoint
+}
+
 // Update is the difference between two revisions of the store, or a snapshot of one.
 type Update struct {
 	// Since and CompleteAt are revisions: a catalog that is complete at Since or later
@@ -59,8 +64,10 @@
 
 // Catalog holds the merged content of updates from the store and from peers, which may
 // arrive in any order. Within an era of the store, entries of endpoints are ordered by
-// revision, so an older update never replaces a newer entry. Across eras they are ordered
-// by the endpoint's own sequence. A catalog is not safe for concurrent use.
+// revision, so an older update never replaces a newer entry. Entries that an endpoint wrote
+// since the same start, and those of different eras, are ordered by the endpoint's own
+// sequence: the store may execute a write after a later one. A catalog is not safe for
+// concurrent use.
 type Catalog struct {
 	configuration *Configuration
 	byName        map[string]*EndpointRecord
@@ -73,8 +80,11 @@
 	coverage       coverage
 	// eraEnteredAt is when the catalog got its first content of the present era.
 	eraEnteredAt time.Duration
-	// hasDeferred is set if any record may have a deferred entry.
-	hasDeferred bool
+	// adoptAt is the earliest time at which a deferred entry may replace its record, 0 if no
+	// record has one.
+	adoptAt time.Duration
+	// lateEntries are the late entries of the last update.
+	lateEntries []LateEntry
 	evacuations evacuations
 }
 
@@ -101,6 +111,7 @@
 	if c.completeAt.IsZero() || u.CompleteAt.Era > c.completeAt.Era {
 		c.enterEra(u.CompleteAt, now)
 	}
+	c.lateEntries = nil
 	changed = c.mergeConfiguration(u.Configuration)
 	listed := make(map[string]bool, len(u.Endpoints))
 	for i := range u.Endpoints {
@@ -124,6 +135,7 @@
 // enterEra prepares the catalog for its first update of an era.
 func (c *Catalog) enterEra(entered common.Revision, now time.Duration) {
 	c.eraEnteredAt = now
+	c.prolongDeferred(now)
 	if !c.completeAt.IsZero() {
 		c.coverage.enterEra(c.completeAt, entered)
 	}
@@ -145,6 +157,9 @@
 	return b
 }
 
+// LateEntries returns the late entries of the last update.
+func (c *Catalog) LateEntries() []LateEntry { return c.lateEntries }
+
 // Records returns all records sorted by name. The slice is valid until the catalog
 // changes.
 func (c *Catalog) Records() []*EndpointRecord {
@@ -181,7 +196,7 @@
 			u.Endpoints = append(u.Endpoints, c.inPresentEra(*r))
 		}
 		if r.deferred != nil && (u.Full || r.deferred.Revision.After(since)) {
-			u.Endpoints = append(u.Endpoints, c.inPresentEra(EndpointRecord{Endpoint: *r.deferred}))
+			u.Endpoints = append(u.Endpoints, c.inPresentEra(EndpointRecord{Endpoint: r.deferred.Endpoint}))
 		}
 	}
 	return u
@@ -190,7 +205,7 @@
 // inPresentEra returns a record for a difference. An entry that the store has listed
 // unchanged since an earlier era gets the present one.
 func (c *Catalog) inPresentEra(r EndpointRecord) EndpointRecord {
-	if !r.Missing() && r.deferred == nil {
+	if !r.Missing() && (r.deferred == nil || r.deferred.late) {
 		r.Endpoint.Revision.Era = c.completeAt.Era
 	}
 	r.deferred = nil
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -115,6 +115,13 @@
 	return e.Sequence < other.Sequence
 }
 
+// lateFor reports whether this entry is an earlier heartbeat of the same incarnation than the
+// other one. A start time that is unknown does not tell a restart, which begins the sequence
+// again.
+func (e *Endpoint) lateFor(other *Endpoint) bool {
+	return e.StartedAt != 0 && e.SameIncarnation(other) && e.Sequence < other.Sequence
+}
+
 // SameIncarnation reports whether both entries describe the same endpoint since the
 // same start.
 func (e *Endpoint) SameIncarnation(other *Endpoint) bool {
--- a/internal/directory/evacuation_test.go
+++ b/internal/directory/evacuation_test.go
@@ -65,7 +65,7 @@
 		if catalog.AdoptDeferred(restoreGrace - 1); isEvacuated(catalog) != c.now {
 			t.Errorf("%s: in force %t, want %t", c.name, !c.now, c.now)
 		}
-		end := catalog.RestoreGraceEnd()
+		end := catalog.GraceEnd()
 		if catalog.AdoptDeferred(restoreGrace + time.Second); isEvacuated(catalog) != c.later {
 			t.Errorf("%s: in force %t after the grace period, want %t", c.name, !c.later, c.later)
 		}
--- a/internal/directory/merge.go
+++ b/internal/directory/merge.go
@@ -12,6 +12,22 @@
 // heartbeats, so that an endpoint that is still listed afterwards runs.
 const restoreGrace = 8 * time.Second
 
+// lateGrace is how long an entry that the endpoint wrote before the one in use does not
+// replace that one, although the store has executed its write later. The endpoint's next
+// heartbeat normally replaces it within this time, and the store removes the entry of an
+// endpoint that has stopped.
+const lateGrace = restoreGrace
+
+// deferredEntry is an entry that the store lists and that is older than the one in use.
+type deferredEntry struct {
+	Endpoint
+	// until is when it replaces the one in use, if the store still lists it.
+	until time.Duration
+	// late is set if the store has also listed the one in use in the present era, and has
+	// executed the write of this entry after it. Otherwise a restore has brought it back.
+	late bool
+}
+
 func (c *Catalog) mergeConfiguration(incoming *Configuration) bool {
 	if incoming == nil || !incoming.ID().After(c.configuration.ID()) {
 		return false
@@ -36,6 +52,9 @@
 		return true
 	case at.Era > existing.latestRevision().Era:
 		return c.mergeNewerEra(existing, &incoming.Endpoint, now)
+	case incoming.Endpoint.lateFor(&existing.Endpoint):
+		c.deferLate(existing, &incoming.Endpoint, now)
+		return false
 	default:
 		*existing = EndpointRecord{Endpoint: incoming.Endpoint}
 		return true
@@ -47,7 +66,11 @@
 // revision, so that it is not part of differences between the two eras.
 func (c *Catalog) mergeNewerEra(existing *EndpointRecord, listed *Endpoint, now time.Duration) bool {
 	if c.inRestoreGrace(now) && listed.WrittenBefore(&existing.Endpoint) {
-		c.deferEntry(existing, *listed)
+		c.deferEntry(existing, &deferredEntry{Endpoint: *listed, until: c.eraEnteredAt + restoreGrace})
+		return false
+	}
+	if listed.lateFor(&existing.Endpoint) {
+		c.deferLate(existing, listed, now)
 		return false
 	}
 	unchanged := *listed
@@ -73,53 +96,80 @@
 	existing.deferred = replaced.deferred
 	if existing.deferred == nil {
 		replaced.Endpoint.Revision.Era = c.completeAt.Era
-		c.deferEntry(existing, replaced.Endpoint)
+		c.deferEntry(existing, &deferredEntry{Endpoint: replaced.Endpoint, until: c.eraEnteredAt + restoreGrace})
 	}
 	return true
 }
 
-// deferEntry keeps an entry that a restored store lists until the end of restoreGrace.
-func (c *Catalog) deferEntry(r *EndpointRecord, listed Endpoint) {
-	c.hasDeferred = true
-	if r.deferred == nil || listed.Revision.After(r.deferred.Revision) {
-		r.deferred = &listed
+// deferLate keeps an entry whose write the store has executed late.
+func (c *Catalog) deferLate(r *EndpointRecord, entry *Endpoint, now time.Duration) {
+	c.lateEntries = append(c.lateEntries, LateEntry{Late: *entry, InUse: r.Endpoint})
+	c.deferEntry(r, &deferredEntry{Endpoint: *entry, until: now + lateGrace, late: true})
+}
+
+// deferEntry keeps an older entry until it replaces the one in use.
+func (c *Catalog) deferEntry(r *EndpointRecord, entry *deferredEntry) {
+	if r.deferred == nil || entry.Revision.After(r.deferred.Revision) {
+		r.deferred = entry
+	}
+	c.adoptAt = earliest(c.adoptAt, r.deferred.until)
+}
+
+// earliest returns the earlier of two times, of which 0 means never.
+func earliest(a, b time.Duration) time.Duration {
+	if a == 0 || b != 0 && b < a {
+		return b
 	}
+	return a
 }
 
 // inRestoreGrace reports whether entries of the present era may be older than entries of
 // the previous one.
 func (c *Catalog) inRestoreGrace(now time.Duration) bool { return now-c.eraEnteredAt < restoreGrace }
 
-// RestoreGraceEnd returns the end of restoreGrace, 0 if no entry and no evacuation waits for
-// it.
-func (c *Catalog) RestoreGraceEnd() time.Duration {
-	if !c.hasDeferred && !c.hasLostEvacuation() {
-		return 0
+// GraceEnd returns when AdoptDeferred must be called, 0 if no entry and no evacuation waits
+// for it.
+func (c *Catalog) GraceEnd() time.Duration {
+	if c.hasLostEvacuation() {
+		return earliest(c.adoptAt, c.eraEnteredAt+restoreGrace)
 	}
-	return c.eraEnteredAt + restoreGrace
+	return c.adoptAt
 }
 
-// AdoptDeferred replaces records by the entries that the store has listed for
-// restoreGrace since it was restored, and ends the evacuations that it has not listed. It
-// reports whether there are any.
+// AdoptDeferred replaces records by the older entries that the store has listed for
+// restoreGrace since it was restored, or for lateGrace, and ends the evacuations that a
+// restored store has not listed. It reports whether there are any.
 func (c *Catalog) AdoptDeferred(now time.Duration) bool {
-	if c.inRestoreGrace(now) {
-		return false
-	}
-	changed := c.endLostEvacuations()
-	if !c.hasDeferred {
+	changed := !c.inRestoreGrace(now) && c.endLostEvacuations()
+	if c.adoptAt == 0 || now < c.adoptAt {
 		return changed
 	}
-	c.hasDeferred = false
+	c.adoptAt = 0
 	for _, r := range c.all {
-		if r.deferred != nil {
-			*r = EndpointRecord{Endpoint: *r.deferred}
+		switch {
+		case r.deferred == nil:
+		case now < r.deferred.until:
+			c.adoptAt = earliest(c.adoptAt, r.deferred.until)
+		default:
+			*r = EndpointRecord{Endpoint: r.deferred.Endpoint}
 			changed = true
 		}
 	}
 	return changed
 }
 
+// prolongDeferred starts the grace of all deferred entries again, because the store was
+// restored once more.
+func (c *Catalog) prolongDeferred(now time.Duration) {
+	c.adoptAt = 0
+	for _, r := range c.all {
+		if r.deferred != nil {
+			r.deferred.until, r.deferred.late = now+restoreGrace, false
+			c.adoptAt = r.deferred.until
+		}
+	}
+}
+
 // remove marks an endpoint as missing. An incoming record that has only a name and
 // revisions, or an older entry of the endpoint, leaves the entry unchanged.
 func (r *EndpointRecord) remove(incoming *EndpointRecord, now time.Duration) {
--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -25,6 +25,9 @@
 	// Version and CompleteAt describe the cache after the update.
 	Version    uint64
 	CompleteAt common.Revision
+	// LateEntries are entries of endpoints whose write the store has executed after that of
+	// a later entry. They are not in use.
+	LateEntries []directory.LateEntry
 	// Rules is the number of rules in force.
 	Rules   int
 	Changes Changes
@@ -53,6 +56,7 @@
 	var applied ApplyResult
 	previous, previouslyComplete := c.currentView.Load().Version(), c.catalog.CompleteAt()
 	applied.Changed, applied.Usable = c.catalog.Apply(u, now)
+	applied.LateEntries = c.catalog.LateEntries()
 	if applied.Usable {
 		if !previouslyComplete.IsZero() && u.CompleteAt.Era > previouslyComplete.Era {
 			applied.RestoredFrom = previouslyComplete
--- a/internal/discovery/metrics.go
+++ b/internal/discovery/metrics.go
@@ -24,7 +24,7 @@
 	// nanoseconds of the cache's clock, 0 for never.
 	lastReadOK, lastReadFailed atomic.Int64
 	readsInFlight              prometheus.Gauge
-	lostReads                  prometheus.Counter
+	lostReads, lateEntries     prometheus.Counter
 }
 
 // callBuckets are the upper bounds of the latency buckets, in seconds.
@@ -64,9 +64,12 @@
 		lostReads: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "burdock_store_reads_lost_total", Help: "Reads of the store that were given up without a result.",
 		}),
+		lateEntries: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "burdock_late_entries_total", Help: "Entries of endpoints that are not in use because the store has executed their write after a later one.",
+		}),
 	}
 	registry.MustRegister(m.reads, m.readSeconds, m.queries, m.querySeconds, m.deferred, m.evacuationLag, m.storeEra, m.storeNumber,
-		m.readsInFlight, m.lostReads, lastReads{m, cache}, pools{cache},
+		m.readsInFlight, m.lostReads, m.lateEntries, lastReads{m, cache}, pools{cache},
 		gauge("burdock_knowledge_age_seconds", "Time since the store confirmed what the instance knows.", func() float64 {
 			now := cache.Now()
 			_, fresh := cache.Current(now)
--- a/internal/discovery/syncer_apply.go
+++ b/internal/discovery/syncer_apply.go
@@ -21,6 +21,7 @@
 		s.logger.Warn("configuration_outdated", zap.String("from", from), zap.Stringer("revision", c.Revision),
 			zap.Uint64("version", c.Version), zap.Uint64("version_in_force", applied.Version))
 	}
+	s.logLateEntries(applied.LateEntries, from)
 	if !applied.Usable {
 		s.logger.Info("update_unusable", zap.String("from", from), zap.Stringer("since", update.Since), zap.Stringer("at", update.CompleteAt))
 		return
@@ -86,6 +87,17 @@
 	}
 }
 
+// logLateEntries logs and counts entries whose write the store has executed late.
+func (s *Syncer) logLateEntries(entries []directory.LateEntry, from string) {
+	s.metrics.lateEntries.Add(float64(len(entries)))
+	for i := range entries[:min(len(entries), maxChangesLogged)] {
+		late, inUse := &entries[i].Late, &entries[i].InUse
+		s.logger.Info("endpoint_entry_late", zap.String("endpoint", late.Name), zap.Stringer("revision", late.Revision),
+			zap.Uint64("sequence", late.Sequence), zap.Bool("draining", late.Draining), zap.Uint64("sequence_in_use", inUse.Sequence),
+			zap.Bool("draining_in_use", inUse.Draining), zap.String("from", from))
+	}
+}
+
 // changesApplied logs changes that took effect with state of an age, and counts the age of
 // evacuations that came into force.
 func (s *Syncer) changesApplied(changes *Changes, from string, age time.Duration) {
