Update the registration of an instance conditionally

An instance that had started again at another address wrote its registration without a condition. If the store executed an earlier write late, the old address came back until the next renewal, 6 h later. The write now requires the revision of the registration that it replaces.

TestRegistrationIsUpdatedConditionally fails before the change (address 10.0.0.2 instead of 10.0.0.3).

--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -182,6 +182,8 @@
 	case r.isCurrent(&existing):
 		err = nil
 	default:
+		// Conditional, so that a write that is executed late does not bring back an old address.
+		self.Revision = existing.Revision
 		_, err = r.Store.Update(ctx, self)
 	}
 	return err
--- a/internal/discovery/registry_test.go
+++ b/internal/discovery/registry_test.go
@@ -65,6 +65,9 @@
 func (s *memoryStore) Update(_ context.Context, o objectstore.Object) (objectstore.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !o.Revision.IsZero() && o.Revision != s.objects[o.Name].Revision {
+		return objectstore.Object{}, resultcode.Errorf(resultcode.PlatformConflict, "object changed since the expected revision")
+	}
 	return s.put(o), nil
 }
 
@@ -275,3 +278,33 @@
 		t.Errorf("remaining peers: %v, want entry-3", names)
 	}
 }
+
+// lateStore executes the first update late: after the next one.
+type lateStore struct {
+	*memoryStore
+	held *objectstore.Object
+}
+
+func (s *lateStore) Update(ctx context.Context, o objectstore.Object) (objectstore.Object, error) {
+	if s.held == nil {
+		s.held = &o
+		return objectstore.Object{}, resultcode.Errorf(resultcode.PlatformUncertain, "no response")
+	}
+	updated, err := s.memoryStore.Update(ctx, o)
+	_, _ = s.memoryStore.Update(ctx, *s.held)
+	return updated, err
+}
+
+// Guards against an old address of an instance that comes back because the store executes an
+// earlier write of the registration late.
+func TestRegistrationIsUpdatedConditionally(t *testing.T) {
+	store := &lateStore{memoryStore: newMemoryStore()}
+	for _, address := range []string{"10.0.0.1:7720", "10.0.0.2:7720", "10.0.0.3:7720"} {
+		r := &Registry{Store: store, Self: Peer{Name: "entry-1", Address: netip.MustParseAddrPort(address)}, Logger: zap.NewNop()}
+		// The second write gets no response.
+		_ = r.register(t.Context())
+	}
+	if content := string(store.objects["entry-1"].Content); content != `{"address":"10.0.0.3:7720"}` {
+		t.Errorf("registration %s", content)
+	}
+}
