Limit the memory of the window of warm-up flows

A service with a warm-up rate that is too large made an instance allocate 8 GB at its first flow to an endpoint that warms up. The process would end at its memory limit, and again after each start. A window keeps at most 4,096 times; a higher quota is not counted.

--- a/internal/decision/warmup/warmup_test.go
+++ b/internal/decision/warmup/warmup_test.go
@@ -157,3 +157,22 @@
 		t.Errorf("%v allocations per packet", n)
 	}
 }
+
+// Guards against a service with a warm-up rate that is too large, for which each endpoint
+// takes gigabytes of memory, so that the process ends at its memory limit.
+func TestWindowOfHugeQuotaUsesNoMemory(t *testing.T) {
+	var w Window
+	quota := Share(Limit(1e300, 1.5, 5))
+	w.Record(0, quota)
+	if len(w.times) > maxTimes {
+		t.Errorf("%d times are kept", len(w.times))
+	}
+	if !w.Allow(0, quota) {
+		t.Error("a packet below the quota is not allowed")
+	}
+	w.Record(time.Second, 2)
+	w.Record(time.Second, 2)
+	if w.Allow(time.Second, 2) {
+		t.Error("a third packet is allowed after the quota was lowered")
+	}
+}
--- a/internal/decision/warmup/window.go
+++ b/internal/decision/warmup/window.go
@@ -10,6 +10,10 @@
 // more on its way than a later one.
 const windowLength = time.Second + 50*time.Millisecond
 
+// maxTimes limits the memory of a window. It is more new flows than one instance sends to
+// one endpoint in windowLength, so a higher quota needs no times.
+const maxTimes = 4096
+
 // never is the time of a packet that was not sent.
 const never = time.Duration(math.MinInt64 / 2)
 
@@ -37,8 +41,12 @@
 // Record records that a packet is sent now. quota is the current quota. It allocates memory
 // only if the quota has changed.
 func (w *Window) Record(now time.Duration, quota int) {
-	if quota != len(w.times) {
-		w.resize(max(quota, 0))
+	size := max(quota, 0)
+	if size > maxTimes {
+		size = 0
+	}
+	if size != len(w.times) {
+		w.resize(size)
 	}
 	if len(w.times) == 0 {
 		return
