--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -68,6 +68,9 @@
 	// a registration is removed. An instance that could not reach the store for that
 	// long writes its registration again.
 	expiryIntervals = 4
+	// maxRenewals is more than an instance makes. A higher count was written by another
+	// program, and would keep renewals from changing the object.
+	maxRenewals = 1 << 32
 	// registerDelay gives the seeds time to report other instances first.
 	registerDelay = 300 * time.Millisecond
 	// listDelay gives instances that start together the time to register before each of
@@ -199,9 +202,9 @@
 		return false
 	}
 	if r.renewals == 0 {
-		r.renewals = content.Renewals
+		r.renewals = min(content.Renewals, maxRenewals)
 	}
-	return content.Address == r.Self.Address && content.Renewals >= r.renewals
+	return content.Address == r.Self.Address && content.Renewals >= r.renewals && content.Renewals <= maxRenewals
 }
 
 // findPeers calls OnPeers with the registered instances.
@@ -217,6 +220,10 @@
 			r.Logger.Warn("registration_unreadable", zap.String("name", object.Name), zap.Error(err))
 			continue
 		}
+		if !content.Address.IsValid() || content.Address.Port() == 0 {
+			r.Logger.Warn("registration_unreadable", zap.String("name", object.Name), zap.Stringer("address", content.Address))
+			continue
+		}
 		peers = append(peers, &syncpb.Peer{Name: object.Name, Address: content.Address.String()})
 	}
 	r.OnPeers(ctx, peers...)
--- a/internal/discovery/registry_test.go
+++ b/internal/discovery/registry_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -308,3 +309,38 @@
 		t.Errorf("registration %s", content)
 	}
 }
+
+// Guards against one registration of another program that hides the others, or that is taken
+// for an instance: nested too deeply, with a number that is too large or a port out of range.
+func TestForeignRegistrationLeavesOthersReadable(t *testing.T) {
+	deep := strings.Repeat("[", 12_000) + strings.Repeat("]", 12_000)
+	for _, foreign := range []string{
+		deep, `{"address":` + deep + `}`, `{"address":"10.0.0.3:17720","renewals":1e400}`, `{"address":"10.0.0.3:17720","renewals":18446744073709551616}`,
+		`{"address":"10.0.0.3:65536"}`, `{"address":"10.0.0.3:0"}`, `{"address":"10.0.0.3:-1"}`, `{"address":""}`, `{}`,
+	} {
+		store := newMemoryStore()
+		store.add("entry-2", `{"address":"10.0.0.2:17720"}`)
+		store.add("entry-3", foreign)
+		store.add("entry-4", `{"address":"10.0.0.4:17720"}`)
+		var found []string
+		registry := newRegistry(store, "entry-1", func(names []string) { found = names })
+		if err := registry.findPeers(t.Context()); err != nil || !slices.Equal(found, []string{"entry-2", "entry-4"}) {
+			t.Errorf("%.60s: found %v, error %v", foreign, found, err)
+		}
+	}
+}
+
+// Guards against an instance whose registration is removed as expired, because another program
+// has written a count of renewals that the instance cannot exceed.
+func TestHugeCountOfRenewalsIsReplaced(t *testing.T) {
+	store := newMemoryStore()
+	store.add("entry-1", `{"address":"10.0.0.1:17720","renewals":18446744073709551615}`)
+	registry := newRegistry(store, "entry-1", func([]string) {})
+	before := store.revision
+	for range 2 {
+		registry.renew(t.Context(), time.Hour)
+	}
+	if store.revision < before+2 {
+		t.Errorf("%d writes for two renewals", store.revision-before)
+	}
+}
