Accept only instances to which packets can be sent as members

The same holds for addresses in updates of peers.

Found by reading; the effect on entryd was not played.

--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -256,13 +256,17 @@
 	m.gossipQueue.prune(m.now().Milliseconds())
 }
 
+// isPacketAddress reports whether entryd can send packets to an address. It rejects a whole
+// snapshot with another one.
+func isPacketAddress(address netip.Addr) bool { return address.Is4() && !address.IsUnspecified() }
+
 func (m *membershipController) decodeInstance(object *platform.Object) (instanceInfo, membership.Candidate, bool) {
 	var spec instanceSpec
 	var status instanceStatus
 	specErr := json.Unmarshal(object.Spec, &spec)
 	_ = json.Unmarshal(object.Status, &status)
 	address, addressErr := netip.ParseAddr(spec.Address)
-	if specErr != nil || addressErr != nil {
+	if specErr != nil || addressErr != nil || !isPacketAddress(address) {
 		m.logger.Warn("instance_list_item", zap.String("name", object.Metadata.Name), zap.String("address", spec.Address))
 		return instanceInfo{}, membership.Candidate{}, false
 	}
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -93,7 +93,17 @@
 	if update.ID == 0 || !nameMatches || u.GetState() > entrypb.MemberState_MEMBER_STATE_DEAD {
 		return update, false
 	}
-	update.Entry, _ = netip.ParseAddrPort(u.GetEntryAddress())
-	update.Peer, _ = netip.ParseAddrPort(u.GetPeerAddress())
+	update.Entry = packetAddress(u.GetEntryAddress())
+	update.Peer = packetAddress(u.GetPeerAddress())
 	return update, true
 }
+
+// packetAddress returns an address to which packets can be sent, the zero value if the text is
+// no such address.
+func packetAddress(text string) netip.AddrPort {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil || !address.Addr().Is4() || address.Addr().IsUnspecified() || address.Port() == 0 {
+		return netip.AddrPort{}
+	}
+	return address
+}
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -104,6 +104,19 @@
 	}
 }
 
+// Guards against an address in an update to which no packets can be sent: entryd rejects every
+// snapshot with such a member.
+func TestUnusableAddressesAreDropped(t *testing.T) {
+	for _, address := range []string{"[::1]:6081", "0.0.0.0:6081", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1", "x", ""} {
+		update, ok := decodeUpdate(&peerpb.MemberUpdate{
+			Instance: uint32(common.InstanceIDOf("entry-1")), Name: "entry-1", EntryAddress: address, PeerAddress: address,
+		})
+		if !ok || update.Entry.IsValid() || update.Peer.IsValid() {
+			t.Errorf("%q: entry %v, peer %v, accepted %v", address, update.Entry, update.Peer, ok)
+		}
+	}
+}
+
 // Guards against updates with a forged ID or an unknown state that enter the view.
 func TestInvalidUpdatesAreDropped(t *testing.T) {
 	valid := membership.Update{ID: common.InstanceIDOf("entry-1"), Name: "entry-1", Incarnation: 5, State: common.MemberServing}
