--- a/standins/soak/pause_test.go
+++ b/standins/soak/pause_test.go
@@ -276,17 +276,6 @@
 	return plan
 }
 
-func buildRelayd(t *testing.T) string {
-	t.Helper()
-	program := filepath.Join(t.TempDir(), "burdock-relayd")
-	build := exec.Command("go", "build", "-o", program, "./binaries/burdock-relayd")
-	build.Dir = filepath.Join("..", "..")
-	if output, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("%v\n%s", err, output)
-	}
-	return program
-}
-
 func freePort(t *testing.T) uint16 {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/standins/soak/soak_test.go
+++ b/standins/soak/soak_test.go
@@ -11,13 +11,7 @@
 // Guards against violations of the delivery guarantees under injected faults, with one
 // seed for a short time. make soak-faults makes longer runs.
 func TestShortRun(t *testing.T) {
-	folder := t.TempDir()
-	program := filepath.Join(folder, "burdock-relayd")
-	build := exec.Command("go", "build", "-o", program, "./binaries/burdock-relayd")
-	build.Dir = filepath.Join("..", "..")
-	if output, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("%v\n%s", err, output)
-	}
+	folder, program := t.TempDir(), buildRelayd(t)
 	events, err := os.Create(filepath.Join(folder, "faults.txt"))
 	if err != nil {
 		t.Fatal(err)
@@ -39,3 +33,15 @@
 		}
 	}
 }
+
+// buildRelayd builds burdock-relayd and returns the path of the program.
+func buildRelayd(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "burdock-relayd")
+	build := exec.Command("go", "build", "-o", program, "./binaries/burdock-relayd")
+	build.Dir = filepath.Join("..", "..")
+	if output, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, output)
+	}
+	return program
+}
