Decide about a stuck read without its lock

A long read holds the lock while it waits for the loop, so the loop must not wait for it. Reads that are given up were cancelled first, so no deadlock was possible; the order no longer matters. A read with an empty cache counts as lost after 30 s instead of 10 s: a long list from an overloaded store may take longer than 10 s, and reads without progress are given up before.

--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -256,8 +256,8 @@
 	m.gossipQueue.prune(m.now().Milliseconds())
 }
 
-// isPacketAddress reports whether entryd can send packets to an address. It rejects a whole
-// snapshot with another one.
+// isPacketAddress reports whether entryd can send packets to an address. A snapshot with any
+// other address is rejected as a whole.
 func isPacketAddress(address netip.Addr) bool { return address.Is4() && !address.IsUnspecified() }
 
 func (m *membershipController) decodeInstance(object *platform.Object) (instanceInfo, membership.Candidate, bool) {
--- a/internal/decision/freshness/freshness.go
+++ b/internal/decision/freshness/freshness.go
@@ -90,8 +90,8 @@
 	// minReadTimeout is longer than the time after which a caller reports a read that has no
 	// response yet.
 	minReadTimeout = 600 * time.Millisecond
-	// emptyReadTimeout is longer than maxLongReadDelay and the read of a page after it.
-	emptyReadTimeout = 10 * time.Second
+	// emptyReadTimeout is longer than an overloaded store takes to send a long list.
+	emptyReadTimeout = 30 * time.Second
 	// minQueryTimeout and the apply deadline divided by queryTimeoutDivisor are longer than
 	// the time after which a caller gives up a query.
 	minQueryTimeout     = 3 * time.Second
@@ -176,8 +176,8 @@
 	return max(now-s.confirmedAt, 0), s.cacheFilled
 }
 
-// ReadOverdue reports whether the cache is so old that a read should have ended since a
-// time, the end of the last read.
+// ReadOverdue reports whether the cache is old although a read and its retry would have
+// ended since lastEnd, when a read last ended.
 func (s *Scheduler) ReadOverdue(lastEnd, now time.Duration) bool {
 	age, filled := s.Age(now)
 	return filled && min(age, now-lastEnd) > s.settings.MaxAge+s.settings.ReadTimeout+s.settings.MaxReadBackoff
--- a/internal/discovery/grace.go
+++ b/internal/discovery/grace.go
@@ -39,8 +39,8 @@
 
 // EndGracePeriods removes the endpoints that the store has not listed again within
 // recoveryGrace after its recovery, and adopts the older entries that it still lists some
-// time after it was restored or has executed a late write. It returns the time of the next call, 0 if none is needed, and
-// what has changed.
+// time after it was restored or has executed a late write. It returns the time of the next
+// call, 0 if none is needed, and what has changed.
 func (c *Cache) EndGracePeriods() (next time.Duration, changes Changes) {
 	now := c.clock()
 	c.mu.Lock()
--- a/internal/discovery/long_reads.go
+++ b/internal/discovery/long_reads.go
@@ -22,15 +22,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.progressed()
-	if !r.uninitialized || !r.long && r.syncer.cache.Now() < r.startedAt+longReadThreshold {
+	if !r.uninitialized || !r.long.Load() && r.syncer.cache.Now() < r.startedAt+longReadThreshold {
 		r.timeout.Reset(pageTimeout)
 		return ctx.Err()
 	}
-	if !r.long {
+	if !r.long.Load() {
 		if !r.syncer.longReadActive.CompareAndSwap(false, true) {
 			return errReadNotNeeded
 		}
-		r.long = true
+		r.long.Store(true)
 		r.hedge.Stop()
 		r.timeout.Stop()
 		if err := r.waitForPeers(ctx); err != nil {
@@ -45,12 +45,6 @@
 	return ctx.Err()
 }
 
-func (r *read) isLong() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.long
-}
-
 // waitForPeers waits until it is the instance's turn to read a long list, or until a
 // peer has sent its content.
 func (r *read) waitForPeers(ctx context.Context) error {
--- a/internal/discovery/reads.go
+++ b/internal/discovery/reads.go
@@ -63,9 +63,10 @@
 	// timeout cancels the read. hedge allows another read to start concurrently.
 	timeout, hedge *time.Timer
 
-	mu sync.Mutex
-	// long is set while the read continues with a long list.
-	long bool
+	// mu is held while a list waits to continue, long is set while the read continues with a
+	// long list.
+	mu   sync.Mutex
+	long atomic.Bool
 }
 
 // startRead starts a read of the store. If it does not end within hedgeDelay, it is
@@ -139,7 +140,7 @@
 	delete(s.reads, r)
 	s.metrics.readsInFlight.Set(float64(len(s.reads)))
 	r.hedge.Stop()
-	if r.isLong() {
+	if r.long.Load() {
 		s.longReadActive.Store(false)
 	}
 }
