Give both instances flows in the test of reports on silent endpoints

In each of these the report arrived, result "unused": by chance the second instance had no open flow on the endpoint, so it had nothing to check and made no verdict. The condition was wrong, not the product.

The tests of pauses ask for metrics every 0.1 s instead of 0.02 s, so that they disturb others less.

--- a/standins/soak/pause_test.go
+++ b/standins/soak/pause_test.go
@@ -192,7 +192,7 @@
 // inForce reports whether a version is in force within the apply deadline.
 func (p *pausedProcess) inForce(version int) bool {
 	want := fmt.Sprint(version)
-	for end := time.Now().Add(applyDeadline + schedulingSlack); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(applyDeadline + schedulingSlack); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		if p.metric("burdock_configuration_version") == want {
 			return true
 		}
--- a/standins/testbed/silence_test.go
+++ b/standins/testbed/silence_test.go
@@ -9,8 +9,9 @@
 	"burdockrelay.example/burdockrelay/standins/testbed"
 )
 
-// newSilenceSystem returns a system of instances that close the flows of silent endpoints.
-func newSilenceSystem(t *testing.T, endpoints int) (*system, []*testbed.Endpoint) {
+// newSilenceSystem returns a system of instances that close the flows of silent endpoints, with
+// a number of callers that send several requests on each flow.
+func newSilenceSystem(t *testing.T, endpoints, longFlows int) (*system, []*testbed.Endpoint) {
 	t.Helper()
 	s := newSystem(t, 0, 0)
 	s.closeSilent = true
@@ -23,7 +24,7 @@
 	}
 	time.Sleep(time.Second)
 	s.startCallers()
-	s.startLongFlows(24)
+	s.startLongFlows(longFlows)
 	return s, started
 }
 
@@ -65,7 +66,7 @@
 // limit.
 func TestEndpointWithoutPower(t *testing.T) {
 	t.Parallel()
-	s, endpoints := newSilenceSystem(t, 4)
+	s, endpoints := newSilenceSystem(t, 4, 24)
 	time.Sleep(2 * time.Second)
 	s.checker.EndpointStopped(endpoints[0].Name())
 	endpoints[0].Close()
@@ -80,7 +81,7 @@
 // and an endpoint accepts connections without answering.
 func TestLivingEndpointsAreNotSilent(t *testing.T) {
 	t.Parallel()
-	s, endpoints := newSilenceSystem(t, 4)
+	s, endpoints := newSilenceSystem(t, 4, 24)
 	s.router.Impair(3, 0)
 	time.Sleep(2 * time.Second)
 	endpoints[0].SetUnresponsive(true)
@@ -97,7 +98,8 @@
 // fallen silent, while its own flows are idle, and against reports on living endpoints.
 func TestInstancesReportSilentEndpoints(t *testing.T) {
 	t.Parallel()
-	s, endpoints := newSilenceSystem(t, 4)
+	// An instance without a flow on the endpoint does not check it, so both get many.
+	s, endpoints := newSilenceSystem(t, 4, 72)
 	time.Sleep(2 * time.Second)
 	if sent := s.sum("burdock_silence_reports_total"); sent != 0 {
 		t.Errorf("%v reports while all endpoints live", sent)
@@ -107,5 +109,7 @@
 	within(t, 3*time.Second, "a report that is sent and received", func() bool {
 		return s.sum("burdock_silence_reports_total") >= 2 && s.sum("burdock_endpoints_silent_total") >= 2
 	})
+	t.Logf("%v reports, %v verdicts, %v flows closed", s.sum("burdock_silence_reports_total"),
+		s.sum("burdock_endpoints_silent_total"), s.sum("burdock_flows_closed_total"))
 	s.finish(0.9)
 }
