--- a/internal/discovery/pause_test.go
+++ b/internal/discovery/pause_test.go
@@ -34,13 +34,11 @@
 	pauseFor, pauseBefore time.Duration
 	// noChanges makes reads of changes fail, so that snapshots are read.
 	noChanges bool
-	calls     int
 }
 
 // call takes the time of one call, and of a pause that begins during it.
 func (s *pausingSource) call(ctx context.Context) error {
 	s.mu.Lock()
-	s.calls++
 	pauses := s.pauseNext == 0
 	if s.pauseNext >= 0 {
 		s.pauseNext--
@@ -190,16 +188,16 @@
 	}
 }
 
-// stuckSourceFor is a store to which the first calls never end, whatever becomes of their
+// firstReadsStuckSource is a store whose first snapshots never end, whatever becomes of their
 // context.
-type stuckSourceFor struct {
+type firstReadsStuckSource struct {
 	fakeSource
 	mu    sync.Mutex
 	calls int
 	stuck chan struct{}
 }
 
-func (s *stuckSourceFor) Snapshot(ctx context.Context, proceed func(context.Context) error) (directory.Update, error) {
+func (s *firstReadsStuckSource) Snapshot(ctx context.Context, proceed func(context.Context) error) (directory.Update, error) {
 	s.mu.Lock()
 	s.calls++
 	stuck := s.calls <= 2*maxConcurrentReads
@@ -217,7 +215,7 @@
 // the places of others.
 func TestStuckReadsDoNotEndReading(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		source := &stuckSourceFor{fakeSource: fakeSource{revision: common.Revision{Number: 1}}, stuck: make(chan struct{})}
+		source := &firstReadsStuckSource{fakeSource: fakeSource{revision: common.Revision{Number: 1}}, stuck: make(chan struct{})}
 		s, cache, start, stop := newTestSyncer(source)
 		start()
 		time.Sleep(4 * stuckReadTimeout)
