--- /dev/null
+++ b/review/standin-3/store.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// maxListed is the maximum number of items in one answer.
+const maxListed = 500
+
+type meta struct {
+	Name     string   `json:"name"`
+	Revision uint64   `json:"revision"`
+	Created  uint64   `json:"created"`
+	Final    []string `json:"finalizers"`
+	Deleting bool     `json:"deleting"`
+}
+
+type object struct {
+	Meta   meta            `json:"meta"`
+	Spec   json.RawMessage `json:"spec"`
+	Status json.RawMessage `json:"status"`
+}
+
+type event struct {
+	kind    string
+	at      uint64
+	Object  object `json:"object"`
+	Deleted bool   `json:"deleted"`
+}
+
+// store is the platform's store.
+type store struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]map[string]object
+	history  []event
+	changed  chan struct{}
+	listener net.Listener
+}
+
+func startStore(ip string) (*store, error) {
+	listener, err := net.Listen("tcp4", ip+":0")
+	if err != nil {
+		return nil, err
+	}
+	s := &store{revision: 100, objects: map[string]map[string]object{}, changed: make(chan struct{}), listener: listener}
+	go func() { _ = http.Serve(listener, s) }()
+	return s, nil
+}
+
+func (s *store) address() string { return s.listener.Addr().String() }
+
+// put writes an object. The revision stays if nothing changes.
+func (s *store) put(kind, name string, spec []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(kind, name, spec)
+}
+
+func (s *store) write(kind, name string, spec []byte) object {
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]object{}
+	}
+	o, found := s.objects[kind][name]
+	if found && string(o.Spec) == string(spec) {
+		return o
+	}
+	s.revision++
+	if !found {
+		o = object{Meta: meta{Name: name, Created: s.revision, Final: []string{}}, Status: json.RawMessage("null")}
+	}
+	o.Meta.Revision, o.Spec = s.revision, append(json.RawMessage{}, spec...)
+	s.objects[kind][name] = o
+	s.publish(event{kind: kind, at: s.revision, Object: o})
+	return o
+}
+
+func (s *store) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, found := s.objects[kind][name]
+	if !found {
+		return
+	}
+	s.revision++
+	delete(s.objects[kind], name)
+	o.Meta.Revision = s.revision
+	s.publish(event{kind: kind, at: s.revision, Object: o, Deleted: true})
+}
+
+func (s *store) publish(e event) {
+	s.history = append(s.history, e)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP answers one call.
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	status, answer := 0, any(nil)
+	switch {
+	case r.Method == http.MethodGet && name == "" && r.URL.Query().Has("watch"):
+		status, answer = s.watch(r, kind)
+	case r.Method == http.MethodGet && name == "":
+		status, answer = s.list(kind, r.URL.Query().Get("after"))
+	default:
+		status, answer = s.single(r, kind, name, body)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (s *store) list(kind, after string) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for name := range s.objects[kind] {
+		if name > after {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	more := len(names) > maxListed
+	items := []object{}
+	for _, name := range names[:min(len(names), maxListed)] {
+		items = append(items, s.objects[kind][name])
+	}
+	return http.StatusOK, map[string]any{"items": items, "has_more": more, "store_revision": s.revision}
+}
+
+func (s *store) watch(r *http.Request, kind string) (int, any) {
+	since, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	end := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		events := []event{}
+		for _, e := range s.history {
+			if e.kind == kind && e.at > since {
+				events = append(events, e)
+			}
+		}
+		at, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if len(events) > 0 || wait == 0 {
+			return http.StatusOK, map[string]any{"events": events, "store_revision": at}
+		}
+		select {
+		case <-changed:
+		case <-end:
+			wait = 0
+		case <-r.Context().Done():
+			wait = 0
+		}
+	}
+}
+
+func (s *store) single(r *http.Request, kind, name string, body []byte) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var call object
+	if len(body) > 0 && json.Unmarshal(body, &call) != nil {
+		return http.StatusBadRequest, nil
+	}
+	if r.Method == http.MethodPost {
+		name = call.Meta.Name
+	}
+	existing, found := s.objects[kind][name]
+	conflict := found && call.Meta.Revision != 0 && call.Meta.Revision != existing.Meta.Revision
+	switch {
+	case r.Method == http.MethodPost && found:
+		return http.StatusConflict, existing
+	case r.Method == http.MethodPost:
+		return http.StatusCreated, s.write(kind, name, call.Spec)
+	case !found:
+		return http.StatusNotFound, map[string]any{}
+	case r.Method == http.MethodGet:
+		return http.StatusOK, existing
+	case conflict:
+		return http.StatusConflict, existing
+	case r.Method == http.MethodPut:
+		return http.StatusOK, s.write(kind, name, call.Spec)
+	default:
+		return http.StatusMethodNotAllowed, nil
+	}
+}
