--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -178,3 +178,12 @@
 	f.host.rec.add("client %s: request %s is not answered (%s)", f.local, id, f.ended)
 	return false
 }
+
+// close ends a flow.
+func (f *clientFlow) close() {
+	f.host.mu.Lock()
+	defer f.host.mu.Unlock()
+	if f.open && f.ended == "" {
+		f.stream.close()
+	}
+}
--- a/review/standin-3/endpoint.go
+++ b/review/standin-3/endpoint.go
@@ -43,6 +43,10 @@
 	draining bool
 	sequence int
 	closed   bool
+	// reported is the state last reported. While cutFromStore is set, the endpoint doesn't
+	// reach the store.
+	reported     string
+	cutFromStore bool
 	// lose is asked before each packet is sent to a client. The network loses the packet if
 	// it returns true.
 	lose func(p *packet) bool
@@ -100,7 +104,7 @@
 // report writes the endpoint's entry. The store keeps the entry if only sequence changes.
 func (e *endpoint) report() {
 	e.mu.Lock()
-	if e.closed {
+	if e.closed || e.cutFromStore {
 		e.mu.Unlock()
 		return
 	}
@@ -113,13 +117,11 @@
 		"service": e.service, "address": e.address.String(), "zone": e.zone, "version": "1", "max_concurrency": 2,
 		"state": state, "warmup_left_ms": 0, "sequence": e.sequence, "born": e.born,
 	}
-	first := e.sequence == 1
+	changed := e.reported != state
+	e.reported = state
 	e.mu.Unlock()
-	if !first && !e.draining {
-		return
-	}
 	content, _ := json.Marshal(entry)
-	e.store.put("servers", e.name, content)
+	e.store.heartbeat(e.name, changed, content)
 }
 
 func (e *endpoint) run() {
--- a/review/standin-3/router.go
+++ b/review/standin-3/router.go
@@ -21,10 +21,12 @@
 	mu      sync.Mutex
 	daemons []*daemon
 	client  http.Client
+	// took is the daemon that took the last opening packet of a flow, by the client's end.
+	took map[netip.AddrPort]*daemon
 }
 
 func startRouter(daemons []*daemon) *router {
-	r := &router{daemons: daemons, client: http.Client{Timeout: probeInterval, Transport: &http.Transport{DisableKeepAlives: true}}}
+	r := &router{daemons: daemons, took: map[netip.AddrPort]*daemon{}, client: http.Client{Timeout: probeInterval, Transport: &http.Transport{DisableKeepAlives: true}}}
 	go func() {
 		for ; ; time.Sleep(probeInterval) {
 			for _, d := range daemons {
@@ -94,5 +96,21 @@
 
 func (r *router) send(socket *net.UDPConn, p *packet) {
 	text := p.encode()
-	time.AfterFunc(clientDelay, func() { _, _ = socket.WriteToUDPAddrPort(text, r.choose(p.from, p.to).packets) })
+	opening := p.has(flagSyn)
+	time.AfterFunc(clientDelay, func() {
+		d := r.choose(p.from, p.to)
+		if opening {
+			r.mu.Lock()
+			r.took[p.from] = d
+			r.mu.Unlock()
+		}
+		_, _ = socket.WriteToUDPAddrPort(text, d.packets)
+	})
+}
+
+// takenBy returns the daemon that took the last opening packet of a flow.
+func (r *router) takenBy(client netip.AddrPort) *daemon {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.took[client]
 }
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -44,15 +44,28 @@
 	history  []event
 	changed  chan struct{}
 	listener net.Listener
+	// heardAt is when an endpoint last reported, by its name. The store removes the entry after
+	// silentFor without a report.
+	heardAt map[string]time.Time
+	// onRemoved is called when the store has removed an entry of an endpoint.
+	onRemoved func(name string)
 }
 
+// silentFor is three status report intervals.
+const silentFor = 3 * heartbeat
+
 func startStore(ip string) (*store, error) {
 	listener, err := net.Listen("tcp4", ip+":0")
 	if err != nil {
 		return nil, err
 	}
-	s := &store{revision: 100, objects: map[string]map[string]object{}, changed: make(chan struct{}), listener: listener}
+	s := &store{revision: 100, objects: map[string]map[string]object{}, changed: make(chan struct{}), listener: listener, heardAt: map[string]time.Time{}}
 	go func() { _ = http.Serve(listener, s) }()
+	go func() {
+		for now := range time.Tick(20 * time.Millisecond) {
+			s.expire(now)
+		}
+	}()
 	return s, nil
 }
 
@@ -65,6 +78,36 @@
 	s.write(kind, name, spec)
 }
 
+// heartbeat takes the report of an endpoint. The entry stays if only its sequence has changed.
+func (s *store) heartbeat(name string, changed bool, spec []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heardAt[name] = time.Now()
+	if _, listed := s.objects["servers"][name]; changed || !listed {
+		s.write("servers", name, spec)
+	}
+}
+
+// expire removes the entries of endpoints that have been silent.
+func (s *store) expire(now time.Time) {
+	s.mu.Lock()
+	var removed []string
+	for name, at := range s.heardAt {
+		if now.Sub(at) >= silentFor {
+			delete(s.heardAt, name)
+			s.delete("servers", name)
+			removed = append(removed, name)
+		}
+	}
+	onRemoved := s.onRemoved
+	s.mu.Unlock()
+	for _, name := range removed {
+		if onRemoved != nil {
+			onRemoved(name)
+		}
+	}
+}
+
 func (s *store) write(kind, name string, spec []byte) object {
 	if s.objects[kind] == nil {
 		s.objects[kind] = map[string]object{}
@@ -86,6 +129,11 @@
 func (s *store) remove(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.heardAt, name)
+	s.delete(kind, name)
+}
+
+func (s *store) delete(kind, name string) {
 	o, found := s.objects[kind][name]
 	if !found {
 		return
