--- /dev/null
+++ b/review/standin-3/cold.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+const (
+	// coldTime is warmup_s, coldLimit floor(warmup_per_s * warmup_excess + warmup_tolerance).
+	coldTime  = 2 * time.Second
+	coldLimit = 5
+	// The endpoint goes down and up by turns, with this period and for this time.
+	flapPeriod = 1400 * time.Millisecond
+	flapTime   = 6500 * time.Millisecond
+	clients    = 20
+	pause      = 100 * time.Millisecond
+	length     = 18 * time.Second
+)
+
+const coldConfiguration = `{"version": 7, "routes": [{"name": "photo", "host": "198.18.0.1", "path_prefix": "/443/", "service": "galerie",
+ "kind": "download", "timeout_ms": 4000, "latency_goal_ms": 800, "priority": 2, "attempts": 2}],
+ "services": [{"name": "galerie", "health_path": "/health", "max_conns": 2000, "warmup_s": 2.0, "warmup_per_s": 0.0}],
+ "limits": {"idle_timeout_ms": 15000}}`
+
+func init() {
+	cases["cold-restart"] = coldRestart
+	settingsOf["cold-restart"] = `apply_deadline: 5000ms
+drain_apply_deadline: 5000ms
+evacuation_deadline: 5000ms
+warm_up: {excess: 1.5, burst: 5 }
+overflow: {share: 0.2}
+`
+}
+
+// coldCount counts the opening packets that a cold endpoint takes.
+type coldCount struct {
+	mu        sync.Mutex
+	name      string
+	startedAt time.Time
+	taken     []time.Time
+	most      int
+}
+
+// add records an opening packet and returns how many the endpoint took in the last second.
+func (c *coldCount) add(e *endpoint, p *packet) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if e.name != c.name || c.startedAt.IsZero() || now.Sub(c.startedAt) > coldTime || p.ack > 0 {
+		return 0
+	}
+	c.taken = append(c.taken, now)
+	n := 0
+	for _, at := range c.taken {
+		// A packet is 1 ms on its way.
+		if now.Sub(at) < time.Second-2*clientDelay {
+			n++
+		}
+	}
+	c.most = max(c.most, n)
+	return n
+}
+
+// coldRestart: one of ten endpoints goes down and up by turns. It starts again under its id.
+func coldRestart(w *world) error {
+	w.store.put("config", "main", []byte(coldConfiguration))
+	var endpoints []*endpoint
+	for n := 1; n <= 10; n++ {
+		e, err := w.endpoint(n, "galerie", 0)
+		if err != nil {
+			return err
+		}
+		e.work = 5 * time.Millisecond
+		endpoints = append(endpoints, e)
+	}
+	if err := w.start(); err != nil {
+		return err
+	}
+	count := &coldCount{name: endpoints[0].name}
+	w.rec.onSyn = func(e *endpoint, p *packet) {
+		if n := count.add(e, p); n > coldLimit {
+			w.rec.breach("FAILBACK", "cold endpoint %s has taken %d requests in a second, through %s at last", e.name, n, w.router.takenBy(p.from).name)
+		}
+	}
+	h, err := w.host(1)
+	if err != nil {
+		return err
+	}
+	// An instance owns nothing before it has read the registrations and 3.15 s have passed.
+	time.Sleep(8 * time.Second)
+	end := time.Now().Add(length)
+	var running sync.WaitGroup
+	for c := range clients {
+		running.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				f := h.dial(netip.MustParseAddrPort("198.18.0.1:443"))
+				f.request(fmt.Sprintf("photo-%d-%d", c, n), 4*time.Second)
+				f.close()
+				time.Sleep(pause)
+			}
+		})
+	}
+	time.Sleep(5 * time.Second)
+	for flapEnd := time.Now().Add(flapTime); w.trouble && time.Now().Before(flapEnd); time.Sleep(flapPeriod / 2) {
+		endpoints[0].crash()
+		time.Sleep(flapPeriod / 2)
+		e, err := w.endpoint(1, "galerie", coldTime)
+		if err != nil {
+			return err
+		}
+		e.work = 5 * time.Millisecond
+		endpoints[0] = e
+		count.mu.Lock()
+		count.startedAt = time.Now()
+		count.mu.Unlock()
+		w.rec.add("endpoint %s: starts again under its id, and has reported it to the store; it is cold for %v", e.name, coldTime)
+	}
+	running.Wait()
+	w.rec.add("the most requests that the cold endpoint took in a second: %d", count.most)
+	return nil
+}
--- a/review/standin-3/daemon.go
+++ b/review/standin-3/daemon.go
@@ -28,7 +28,7 @@
 // ports of all daemons.
 type ports struct{ packets, ready, control, internal int }
 
-func newDaemon(name, zone, ip, storeAddress string, p ports, seeds []string, program, folder string, rec *record) *daemon {
+func newDaemon(name, zone, ip, storeAddress string, p ports, seeds []string, extra, program, folder string, rec *record) *daemon {
 	d := &daemon{
 		name: name, zone: zone, ip: ip, program: program, folder: folder, rec: rec,
 		ready:   fmt.Sprintf("%s:%d", ip, p.ready),
@@ -44,13 +44,11 @@
 peer_listen: %s:%d
 seeds: %s
 store: %s
-apply_deadline: 3000ms
-drain_apply_deadline: 3000ms
 stop_deadline: 6s
 flow_lifetime: 60s
 memory_mb: 284
 close_silent: true
-`, text(name), text(zone), ip, ip, p.packets, ip, p.ready, ip, p.internal, text(seeds), storeAddress)
+%s`, text(name), text(zone), ip, ip, p.packets, ip, p.ready, ip, p.internal, text(seeds), storeAddress, extra)
 	return d
 }
 
--- a/review/standin-3/endpoint.go
+++ b/review/standin-3/endpoint.go
@@ -43,15 +43,15 @@
 	draining bool
 	sequence int
 	closed   bool
-	// reported is the state last reported. While cutFromStore is set, the endpoint doesn't
-	// reach the store.
-	reported     string
-	cutFromStore bool
+	// cutOff is set while the endpoint doesn't reach the store.
+	cutOff bool
 	// lose is asked before each packet is sent to a client. The network loses the packet if
 	// it returns true.
 	lose func(p *packet) bool
 	// work is how long a request takes.
 	work time.Duration
+	// coldUntil is the end of the time in which the endpoint is cold.
+	coldUntil time.Time
 }
 
 // served is the endpoint's side of a flow.
@@ -66,7 +66,9 @@
 	synAckTimes int
 }
 
-func startEndpoint(name, service, zone string, address netip.AddrPort, clientPort uint16, s *store, rec *record) (*endpoint, error) {
+// startEndpoint starts an endpoint that is cold for a time. start, which may be nil, is called
+// before it reads its first packet.
+func startEndpoint(name, service, zone string, address netip.AddrPort, clientPort uint16, cold time.Duration, s *store, rec *record, start func(*endpoint)) (*endpoint, error) {
 	id, err := strconv.ParseUint(name[strings.LastIndexByte(name, '-')+1:], 16, 64)
 	if err != nil {
 		return nil, err
@@ -82,10 +84,13 @@
 	e := &endpoint{
 		name: name, service: service, zone: zone, id: id, address: address, clientPort: clientPort, store: s, rec: rec,
 		socket: socket, born: time.Now().UnixMilli(), flows: map[netip.AddrPort]*served{}, work: 30 * time.Millisecond,
-		lose: func(*packet) bool { return false },
+		lose: func(*packet) bool { return false }, coldUntil: time.Now().Add(cold),
 	}
 	e.health = &http.Server{Handler: http.HandlerFunc(e.check)}
 	go func() { _ = e.health.Serve(listener) }()
+	if start != nil {
+		start(e)
+	}
 	go e.read()
 	go e.run()
 	e.report()
@@ -104,7 +109,7 @@
 // report writes the endpoint's entry. The store keeps the entry if only sequence changes.
 func (e *endpoint) report() {
 	e.mu.Lock()
-	if e.closed || e.cutFromStore {
+	if e.closed || e.cutOff {
 		e.mu.Unlock()
 		return
 	}
@@ -113,15 +118,18 @@
 	if e.draining {
 		state = "draining"
 	}
-	entry := map[string]any{
-		"service": e.service, "address": e.address.String(), "zone": e.zone, "version": "1", "max_concurrency": 2,
-		"state": state, "warmup_left_ms": 0, "sequence": e.sequence, "born": e.born,
-	}
-	changed := e.reported != state
-	e.reported = state
+	entry := e.entry(state)
 	e.mu.Unlock()
 	content, _ := json.Marshal(entry)
-	e.store.heartbeat(e.name, changed, content)
+	e.store.heartbeat(e.name, content)
+}
+
+// entry returns the entry with a state. The caller holds mu.
+func (e *endpoint) entry(state string) map[string]any {
+	return map[string]any{
+		"service": e.service, "address": e.address.String(), "zone": e.zone, "version": "1", "max_concurrency": 2,
+		"state": state, "warmup_left_ms": max(time.Until(e.coldUntil).Milliseconds(), 0), "sequence": e.sequence, "born": e.born,
+	}
 }
 
 func (e *endpoint) run() {
@@ -275,6 +283,24 @@
 	}
 }
 
+// drain reports that the endpoint drains. The store acknowledges it.
+func (e *endpoint) drain() {
+	e.mu.Lock()
+	e.draining = true
+	e.mu.Unlock()
+	e.report()
+}
+
+// crash ends the endpoint without a word. Its entry stays.
+func (e *endpoint) crash() {
+	e.mu.Lock()
+	e.closed = true
+	e.mu.Unlock()
+	_ = e.socket.Close()
+	_ = e.health.Close()
+	e.rec.add("endpoint %s: crashes", e.name)
+}
+
 // leave ends the endpoint: its sockets are closed and its entry is removed.
 func (e *endpoint) leave() {
 	e.mu.Lock()
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -25,6 +25,9 @@
 
 var cases = map[string]func(*world) error{}
 
+// settingsOf holds what the template adds to the settings on the site of each case.
+var settingsOf = map[string]string{}
+
 func main() {
 	name := flag.String("case", "", "the case to play")
 	program := flag.String("program", "target/burdock-relayd", "the program of the deploy file")
@@ -35,14 +38,14 @@
 		fmt.Fprintln(os.Stderr, "unknown case", *name)
 		os.Exit(2)
 	}
-	code, err := run(play, *program, *file)
+	code, err := run(*name, play, *program, *file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 	}
 	os.Exit(code)
 }
 
-func run(play func(*world) error, program, file string) (int, error) {
+func run(name string, play func(*world) error, program, file string) (int, error) {
 	rec, err := newRecord(file)
 	if err != nil {
 		return 2, err
@@ -70,7 +73,7 @@
 		seeds = append(seeds, fmt.Sprintf("%s:%d", machineIP(i), w.ports.control))
 	}
 	for i := range 2 {
-		d := newDaemon(fmt.Sprintf("frontend-a-%d", i+1), "a", machineIP(i), w.store.address(), w.ports, seeds, program, folder, rec)
+		d := newDaemon(fmt.Sprintf("frontend-a-%d", i+1), "a", machineIP(i), w.store.address(), w.ports, seeds, settingsOf[name], program, folder, rec)
 		w.daemons = append(w.daemons, d)
 	}
 	err = play(w)
@@ -136,7 +139,17 @@
 }
 
 // endpoint starts an endpoint of a service.
-func (w *world) endpoint(n int, service string) (*endpoint, error) {
+func (w *world) endpoint(n int, service string, cold time.Duration) (*endpoint, error) {
+	return w.startEndpoint(n, service, cold, nil)
+}
+
+// endpointCutOff starts an endpoint that doesn't reach the store.
+func (w *world) endpointCutOff(n int, service string) (*endpoint, error) {
+	return w.startEndpoint(n, service, 0, func(e *endpoint) { e.cutOff = true })
+}
+
+func (w *world) startEndpoint(n int, service string, cold time.Duration, start func(*endpoint)) (*endpoint, error) {
 	address := netip.AddrPortFrom(netip.MustParseAddr(fmt.Sprintf("127.0.93.%d", n)), uint16(w.ports.packets)+10)
-	return startEndpoint(fmt.Sprintf("srv-7e%02d4c1a9b%02d", n, n), service, "a", address, uint16(w.ports.packets), w.store, w.rec)
+	name := fmt.Sprintf("srv-7e%02d4c1a9b%02d", n, n)
+	return startEndpoint(name, service, "a", address, uint16(w.ports.packets), cold, w.store, w.rec, start)
 }
--- a/review/standin-3/router.go
+++ b/review/standin-3/router.go
@@ -86,8 +86,9 @@
 		h := fnv.New64a()
 		_, _ = h.Write([]byte(d.name + " " + from.String() + " " + to.String()))
 		// The last bytes of the input reach only the low bits of this hash.
-		weight := h.Sum64() * 0x9e3779b97f4a7c15
-		if weight ^= weight >> 32; best == nil || weight > most {
+		weight := (h.Sum64() ^ h.Sum64()>>29) * 0xbf58476d1ce4e5b9
+		weight = (weight ^ weight>>32) * 0x94d049bb133111eb
+		if best == nil || weight > most {
 			best, most = d, weight
 		}
 	}
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -79,15 +80,28 @@
 }
 
 // heartbeat takes the report of an endpoint. The entry stays if only its sequence has changed.
-func (s *store) heartbeat(name string, changed bool, spec []byte) {
+func (s *store) heartbeat(name string, spec []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.heardAt[name] = time.Now()
-	if _, listed := s.objects["servers"][name]; changed || !listed {
+	present, listed := s.objects["servers"][name]
+	if !listed || !sameButSequence(present.Spec, spec) {
 		s.write("servers", name, spec)
 	}
 }
 
+// sameButSequence reports whether two entries of an endpoint differ in their sequence at most.
+func sameButSequence(a, b []byte) bool {
+	var entries [2]map[string]any
+	for i, text := range [][]byte{a, b} {
+		if json.Unmarshal(text, &entries[i]) != nil {
+			return false
+		}
+		delete(entries[i], "sequence")
+	}
+	return reflect.DeepEqual(entries[0], entries[1])
+}
+
 // expire removes the entries of endpoints that have been silent.
 func (s *store) expire(now time.Time) {
 	s.mu.Lock()
