--- a/review/standin-3/reborn.go
+++ b/review/standin-3/reborn.go
@@ -16,7 +16,7 @@
 	// the report that was held up reaches the store, count from the start of the cut. TCP
 	// repeats what was sent just before a cut after 0.2, 0.6, 1.4, 3.0 and 6.2 s.
 	cutTime   = 3200 * time.Millisecond
-	restartAt = 1000 * time.Millisecond
+	restartAt = 1200 * time.Millisecond
 	downTime  = 50 * time.Millisecond
 	drainAt   = 3300 * time.Millisecond
 	deliverAt = 6200 * time.Millisecond
@@ -69,7 +69,7 @@
 	time.Sleep(4 * time.Second)
 	end := time.Now().Add(20 * time.Second)
 	var running sync.WaitGroup
-	for c := range 12 {
+	for c := range 18 {
 		running.Go(func() {
 			for n := 0; time.Now().Before(end); n++ {
 				f := h.dial(netip.MustParseAddrPort("127.0.94.1:443"))
