--- a/review/standin-3/cold.go
+++ b/review/standin-3/cold.go
@@ -20,11 +20,6 @@
 	length     = 18 * time.Second
 )
 
-const coldConfiguration = `{"version": 7, "routes": [{"name": "photo", "host": "127.0.94.1", "path_prefix": "/443/", "service": "galerie",
- "kind": "download", "timeout_ms": 4000, "latency_goal_ms": 800, "priority": 2, "attempts": 2}],
- "services": [{"name": "galerie", "health_path": "/health", "max_conns": 2000, "warmup_s": 2.0, "warmup_per_s": 0.0}],
- "limits": {"idle_timeout_ms": 15000}}`
-
 func init() {
 	cases["cold-restart"] = coldRestart
 	settingsOf["cold-restart"] = `apply_deadline: 5000ms
@@ -72,7 +67,7 @@
 
 // coldRestart: two of twenty endpoints go down and up by turns. They start again under their ids.
 func coldRestart(w *world) error {
-	w.store.put("config", "main", []byte(coldConfiguration))
+	w.store.put("config", "main", coldConfiguration)
 	var endpoints []*endpoint
 	for n := 1; n <= 20; n++ {
 		e, err := w.endpoint(n, "galerie", 0)
--- a/review/standin-3/daemon.go
+++ b/review/standin-3/daemon.go
@@ -63,7 +63,7 @@
 		return err
 	}
 	command := exec.Command(d.program)
-	command.Env = append(os.Environ(), "BURDOCKRELAY_BOOT="+path)
+	command.Env = append(os.Environ(), names.SettingsVariable+"="+path)
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
--- a/review/standin-3/endpoint.go
+++ b/review/standin-3/endpoint.go
@@ -101,7 +101,7 @@
 func (e *endpoint) check(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	w.Header().Set("Instance-Id", e.name)
+	w.Header().Set(names.NameHeader, e.name)
 	if e.draining {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
@@ -128,8 +128,8 @@
 // entry returns the entry with a state. The caller holds mu.
 func (e *endpoint) entry(state string) map[string]any {
 	return map[string]any{
-		"service": e.service, "address": e.address.String(), "zone": e.zone, "version": "1", "max_concurrency": 2,
-		"state": state, "warmup_left_ms": max(time.Until(e.coldUntil).Milliseconds(), 0), "sequence": e.sequence, "born": e.born,
+		"service": e.service, "address": e.address.String(), "zone": e.zone, "version": "1", names.Slots: 2,
+		"state": state, names.WarmUpLeft: max(time.Until(e.coldUntil).Milliseconds(), 0), "sequence": e.sequence, "born": e.born,
 	}
 }
 
--- a/review/standin-3/reborn.go
+++ b/review/standin-3/reborn.go
@@ -24,10 +24,6 @@
 	lingers = 6 * time.Second
 )
 
-const deskConfiguration = `{"version": 7, "routes": [{"name": "report", "host": "127.0.94.1", "path_prefix": "/443/", "service": "desk",
- "kind": "non_idempotent", "timeout_ms": 1200, "latency_goal_ms": 200, "priority": 1, "attempts": 2}],
- "services": [{"name": "desk", "health_path": "/health", "max_conns": 2000}], "limits": {"idle_timeout_ms": 15000}}`
-
 func init() {
 	cases["earlier-start"] = earlierStart
 	settingsOf["earlier-start"] = `apply_deadline: 3000ms
@@ -39,7 +35,7 @@
 // endpoint starts again under its id. After the cut it is taken away as planned. The report of
 // its earlier start then reaches the store.
 func earlierStart(w *world) error {
-	w.store.put("config", "main", []byte(deskConfiguration))
+	w.store.put("config", "main", deskConfiguration)
 	var endpoints []*endpoint
 	for n := 1; n <= 6; n++ {
 		e, err := w.endpoint(n, "desk", 0)
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -166,7 +166,7 @@
 
 // ServeHTTP answers one call.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, names.ObjectsPath), "/")
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -188,24 +188,24 @@
 func (s *store) list(kind, after string) (int, any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var names []string
+	var keys []string
 	for name := range s.objects[kind] {
 		if name > after {
-			names = append(names, name)
+			keys = append(keys, name)
 		}
 	}
-	slices.Sort(names)
-	more := len(names) > maxListed
+	slices.Sort(keys)
+	more := len(keys) > maxListed
 	items := []object{}
-	for _, name := range names[:min(len(names), maxListed)] {
+	for _, name := range keys[:min(len(keys), maxListed)] {
 		items = append(items, s.objects[kind][name])
 	}
-	return http.StatusOK, map[string]any{"items": items, "has_more": more, "store_revision": s.revision}
+	return http.StatusOK, map[string]any{"items": items, names.More: more, names.StoreRevision: s.revision}
 }
 
 func (s *store) watch(r *http.Request, kind string) (int, any) {
 	since, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
-	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	wait, _ := strconv.Atoi(r.URL.Query().Get(names.Wait))
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
@@ -218,7 +218,7 @@
 		at, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 || wait == 0 {
-			return http.StatusOK, map[string]any{"events": events, "store_revision": at}
+			return http.StatusOK, map[string]any{"events": events, names.StoreRevision: at}
 		}
 		select {
 		case <-changed:
