--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -87,7 +87,6 @@
 		}
 		f.open = true
 		f.stream = stream{local: f.local, remote: f.remote, echo: p.echo, next: f.seq + 1, expected: p.seq + 1, send: h.send}
-		h.rec.add("client %s: first packet answered, echo %d", f.local, p.echo)
 		h.send(f.stream.packet(flagAck))
 	case f.open:
 		f.stream.receive(p)
@@ -136,7 +135,9 @@
 
 func (h *host) sendSyn(f *clientFlow) {
 	h.send(&packet{flags: flagSyn, from: f.local, to: f.remote, seq: f.seq, ack: uint32(f.sent)})
-	h.rec.add("client %s: first packet to %s, copy %d", f.local, f.remote, f.sent)
+	if f.sent > 0 {
+		h.rec.add("client %s: first packet to %s again, copy %d", f.local, f.remote, f.sent)
+	}
 	f.sent++
 }
 
@@ -162,7 +163,7 @@
 		}
 		if f.open && !sent {
 			sent = true
-			f.host.rec.add("client %s: request %s, echo %d", f.local, id, f.stream.echo)
+			f.host.rec.add("%s sends %s", f.local, id)
 			f.stream.write([]byte("POST / HTTP/1.1\r\nAttempt-Id: " + id + "\r\n\r\n"))
 		}
 		answered := strings.HasSuffix(string(f.stream.received), "done "+id)
@@ -171,7 +172,7 @@
 		}
 		f.host.mu.Unlock()
 		if answered {
-			f.host.rec.add("client %s: request %s is answered", f.local, id)
+			f.host.rec.add("%s answered", id)
 			return true
 		}
 	}
--- a/review/standin-3/daemon.go
+++ b/review/standin-3/daemon.go
@@ -8,7 +8,6 @@
 	"os/exec"
 	"path/filepath"
 	"syscall"
-	"time"
 )
 
 // daemon is one machine with a burdock-relayd process.
@@ -81,22 +80,6 @@
 	return nil
 }
 
-func (d *daemon) signal(s syscall.Signal) {
-	d.rec.add("platform: %v to the process of %s", s, d.name)
-	_ = d.process.Process.Signal(s)
-}
-
-// stop is a planned stop: SIGTERM, and SIGKILL after the grace of 6 s.
-func (d *daemon) stop() {
-	d.signal(syscall.SIGTERM)
-	select {
-	case <-d.exited:
-	case <-time.After(6 * time.Second):
-		d.signal(syscall.SIGKILL)
-		<-d.exited
-	}
-}
-
 func (d *daemon) kill() {
 	if d.process == nil {
 		return
--- a/review/standin-3/endpoint.go
+++ b/review/standin-3/endpoint.go
@@ -45,9 +45,6 @@
 	closed   bool
 	// cutOff is set while the endpoint doesn't reach the store.
 	cutOff bool
-	// lose is asked before each packet is sent to a client. The network loses the packet if
-	// it returns true.
-	lose func(p *packet) bool
 	// work is how long a request takes, running the number of requests at work.
 	work    time.Duration
 	running int
@@ -85,7 +82,7 @@
 	e := &endpoint{
 		name: name, service: service, zone: zone, id: id, address: address, clientPort: clientPort, store: s, rec: rec,
 		socket: socket, born: time.Now().UnixMilli(), flows: map[netip.AddrPort]*served{}, work: 30 * time.Millisecond,
-		lose: func(*packet) bool { return false }, coldUntil: time.Now().Add(cold),
+		coldUntil: time.Now().Add(cold),
 	}
 	e.health = &http.Server{Handler: http.HandlerFunc(e.check)}
 	go func() { _ = e.health.Serve(listener) }()
@@ -159,7 +156,6 @@
 			f.stream.tick(now)
 			if f.stream.finished() {
 				delete(e.flows, from)
-				e.rec.add("endpoint %s: flow of %s has ended", e.name, from)
 			}
 		case now.Sub(f.startedAt) >= halfOpen:
 			delete(e.flows, from)
@@ -247,10 +243,6 @@
 }
 
 func (e *endpoint) reply(p *packet) {
-	if e.lose(p) {
-		e.rec.add("network: a packet of endpoint %s to %s is lost (flags %d)", e.name, p.to, p.flags)
-		return
-	}
 	text, to := p.encode(), netip.AddrPortFrom(p.to.Addr(), e.clientPort)
 	time.AfterFunc(clientDelay, func() { _, _ = e.socket.WriteToUDPAddrPort(text, to) })
 }
--- a/review/standin-3/record.go
+++ b/review/standin-3/record.go
@@ -52,7 +52,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.holder[client] = e
-	r.line("endpoint %s: flow of %s is open here", e.name, client)
 }
 
 func (r *record) holderOf(client netip.AddrPort) *endpoint {
@@ -64,7 +63,6 @@
 func (r *record) synArrived(e *endpoint, p *packet) {
 	r.mu.Lock()
 	onSyn := r.onSyn
-	r.line("endpoint %s: first packet of flow %s, copy %d, echo %d", e.name, p.from, p.ack, p.echo)
 	r.mu.Unlock()
 	if onSyn != nil {
 		onSyn(e, p)
@@ -75,7 +73,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.runs[id]++
-	r.line("endpoint %s: runs request %s", e.name, id)
+	r.line("%s runs %s", e.name, id)
 }
 
 // close writes the result and returns the exit code.
